Serve requests end to end by separate processes

Cause: there was nothing.

Change: the frame of the design as packages from Base to Program. The decisions (routing, waiting, claims of run-once requests, ownership, members, configuration) are plain objects behind Node; threads and sockets around them. Stand-ins for the platform, backend servers and callers under Tests/.

--- /dev/null
+++ b/Source/Base/Hash.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace burlreach {
+
+/** The same on every instance and in every version. */
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed = 0);
+
+}
--- /dev/null
+++ b/Source/Base/NetworkAddress.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace burlreach {
+
+/** An IP number and a port. */
+struct NetworkAddress {
+    std::string host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const NetworkAddress&) const = default;
+
+    /** "HOST:PORT", with brackets around an IPv6 number. */
+    std::string text() const;
+};
+
+/** True for an IPv4 or IPv6 number; names are not resolved. */
+bool isIpNumber(std::string_view text);
+
+/** Reads "HOST:PORT"; nothing when it is not one with an IP number. */
+std::optional<NetworkAddress> parseNetworkAddress(std::string_view text);
+
+}
--- /dev/null
+++ b/Source/Configuration/ChangeApplier.cpp
@@ -0,0 +1,191 @@
+#include "Configuration/ChangeApplier.h"
+
+#include "Configuration/ConfigurationChecker.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+namespace {
+
+/** More than a day of changes at the size that docs/CAPACITY.md plans for. */
+constexpr int RememberedChanges = 400;
+constexpr std::size_t MaximumChangeIdLength = 100;
+
+template <typename List>
+auto findNamed(List& list, const std::string& name)
+{
+    return std::find_if(list.begin(), list.end(), [&](const auto& item) { return item.name() == name; });
+}
+
+auto findRule(v1::Service& service, const std::string& method, const std::string& prefix)
+{
+    return std::find_if(service.mutable_rules()->begin(), service.mutable_rules()->end(),
+        [&](const v1::RequestRule& rule) { return rule.method() == method && rule.path_prefix() == prefix; });
+}
+
+}
+
+const v1::AppliedChange* findAppliedChange(const v1::Configuration& configuration, std::string_view changeId)
+{
+    const auto& changes = configuration.recent_changes();
+    const auto found = std::find_if(changes.begin(), changes.end(),
+        [&](const v1::AppliedChange& change) { return change.change_id() == changeId; });
+    return found == changes.end() ? nullptr : &*found;
+}
+
+ChangedConfiguration ChangeApplier::apply(
+    const v1::ChangeRequest& request, const v1::Configuration& base, std::string_view acceptedBy)
+{
+    this->result = { .configuration = base, .findings = {} };
+    if (request.change_id().empty() || request.change_id().size() > MaximumChangeIdLength)
+        this->result.findings.add("/change_id",
+            "is empty or longer than 100 characters; give each change an id of its own and keep it for repeats");
+    this->applyKind(request);
+    v1::Configuration& changed = this->result.configuration;
+    changed.set_revision(base.revision() + 1);
+    v1::AppliedChange* applied = changed.add_recent_changes();
+    applied->set_change_id(request.change_id());
+    applied->set_revision(changed.revision());
+    applied->set_accepted_by(std::string(acceptedBy));
+    if (changed.recent_changes_size() > RememberedChanges)
+        changed.mutable_recent_changes()->DeleteSubrange(0, changed.recent_changes_size() - RememberedChanges);
+    if (!this->result.findings.empty())
+        return this->result;
+    ConfigurationChecker checker;
+    this->result.findings = checker.check(changed);
+    return this->result;
+}
+
+void ChangeApplier::applyKind(const v1::ChangeRequest& request)
+{
+    switch (request.change_case()) {
+    case v1::ChangeRequest::kCreateService:
+        return this->create(request.create_service());
+    case v1::ChangeRequest::kChangeHosts:
+        return this->changeHosts(request.change_hosts());
+    case v1::ChangeRequest::kRemoveService:
+        return this->remove(request.remove_service());
+    case v1::ChangeRequest::kNameBackendServer:
+        return this->name(request.name_backend_server());
+    case v1::ChangeRequest::kDrainBackendServer:
+        return this->drain(request.drain_backend_server());
+    case v1::ChangeRequest::kRemoveBackendServer:
+        return this->remove(request.remove_backend_server());
+    case v1::ChangeRequest::kSetRequestRule:
+        return this->setRule(request.set_request_rule());
+    case v1::ChangeRequest::kRemoveRequestRule:
+        return this->removeRule(request.remove_request_rule());
+    case v1::ChangeRequest::kSetLimits:
+        return this->setLimits(request.set_limits());
+    case v1::ChangeRequest::CHANGE_NOT_SET:
+        break;
+    }
+    this->result.findings.add("/change", "is not set; name one change, such as create_service");
+}
+
+v1::Service* ChangeApplier::findService(const std::string& name)
+{
+    auto& services = *this->result.configuration.mutable_services();
+    const auto found = findNamed(services, name);
+    if (found != services.end())
+        return &*found;
+    this->result.findings.add(
+        "/service", "there is no service \"" + name + "\"; see the list of services or create it first");
+    return nullptr;
+}
+
+v1::BackendServer* ChangeApplier::findBackendServer(v1::Service& service, const std::string& name)
+{
+    auto& servers = *service.mutable_backend_servers();
+    const auto found = findNamed(servers, name);
+    if (found != servers.end())
+        return &*found;
+    this->result.findings.add("/backend_server",
+        "there is no backend server \"" + name + "\" in \"" + service.name() + "\"; see the service or name it first");
+    return nullptr;
+}
+
+void ChangeApplier::create(const v1::CreateService& change)
+{
+    *this->result.configuration.add_services() = change.service();
+}
+
+void ChangeApplier::changeHosts(const v1::ChangeHosts& change)
+{
+    if (v1::Service* service = this->findService(change.service()))
+        *service->mutable_hosts() = change.hosts();
+}
+
+void ChangeApplier::remove(const v1::RemoveService& change)
+{
+    if (!this->findService(change.service()))
+        return;
+    auto& services = *this->result.configuration.mutable_services();
+    services.erase(findNamed(services, change.service()));
+}
+
+void ChangeApplier::name(const v1::NameBackendServer& change)
+{
+    v1::Service* service = this->findService(change.service());
+    if (!service)
+        return;
+    auto& servers = *service->mutable_backend_servers();
+    const auto found = findNamed(servers, change.backend_server().name());
+    if (found == servers.end())
+        *service->add_backend_servers() = change.backend_server();
+    else
+        *found = change.backend_server();
+}
+
+void ChangeApplier::drain(const v1::DrainBackendServer& change)
+{
+    v1::Service* service = this->findService(change.service());
+    if (!service)
+        return;
+    if (v1::BackendServer* server = this->findBackendServer(*service, change.backend_server()))
+        server->set_draining(change.draining());
+}
+
+void ChangeApplier::remove(const v1::RemoveBackendServer& change)
+{
+    v1::Service* service = this->findService(change.service());
+    if (!service || !this->findBackendServer(*service, change.backend_server()))
+        return;
+    auto& servers = *service->mutable_backend_servers();
+    servers.erase(findNamed(servers, change.backend_server()));
+}
+
+void ChangeApplier::setRule(const v1::SetRequestRule& change)
+{
+    v1::Service* service = this->findService(change.service());
+    if (!service)
+        return;
+    const auto found = findRule(*service, change.rule().method(), change.rule().path_prefix());
+    if (found == service->mutable_rules()->end())
+        *service->add_rules() = change.rule();
+    else
+        *found = change.rule();
+}
+
+void ChangeApplier::removeRule(const v1::RemoveRequestRule& change)
+{
+    v1::Service* service = this->findService(change.service());
+    if (!service)
+        return;
+    const auto found = findRule(*service, change.method(), change.path_prefix());
+    if (found == service->mutable_rules()->end())
+        this->result.findings.add("/path_prefix",
+            "there is no rule for \"" + change.method() + "\" and \"" + change.path_prefix()
+                + "\"; see the service for its rules");
+    else
+        service->mutable_rules()->erase(found);
+}
+
+void ChangeApplier::setLimits(const v1::SetLimits& change)
+{
+    if (v1::Service* service = this->findService(change.service()))
+        *service->mutable_limits() = change.limits();
+}
+
+}
--- /dev/null
+++ b/Source/Exchange/StoreCallNumbers.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Exchange/StoreRequest.h"
+
+namespace burlreach {
+
+/** Gives every call of one instance a number of its own. */
+class StoreCallNumbers {
+public:
+    StoreCallNumber next() { return ++this->last; }
+
+private:
+    StoreCallNumber last = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Operators/InstanceReader.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "operators.pb.h"
+
+#include <string>
+
+namespace burlreach {
+
+/** What operators may see of this instance; safe from any thread. */
+class InstanceReader {
+public:
+    virtual ~InstanceReader() = default;
+    virtual v1::Configuration configurationInForce() const = 0;
+    virtual v1::ShowLoadAnswer showLoad(const std::string& service) const = 0;
+    virtual v1::ShowCountersAnswer showCounters() const = 0;
+    virtual bool isReady() const = 0;
+    /** Counters and histograms in the text exposition format. */
+    virtual std::string metricsText() const = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Ownership/ClaimRecords.cpp
@@ -0,0 +1,48 @@
+#include "Ownership/ClaimRecords.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+ClaimEntry* ClaimRecords::find(std::string_view requestId)
+{
+    const auto found = this->entries.find(std::string(requestId));
+    return found == this->entries.end() ? nullptr : &found->second;
+}
+
+void ClaimRecords::put(std::string_view requestId, const ClaimEntry& entry)
+{
+    this->entries.insert_or_assign(std::string(requestId), entry);
+}
+
+void ClaimRecords::expire(Milliseconds before)
+{
+    std::erase_if(this->entries, [before](const auto& item) { return item.second.at < before; });
+}
+
+void ClaimRecords::write(peers::SlotRecords& message, Milliseconds now) const
+{
+    for (const auto& [requestId, entry] : this->entries) {
+        peers::ClaimRecord* record = message.add_records();
+        record->set_request_id(requestId);
+        record->set_attempt(entry.attempt);
+        record->mutable_claimant()->set_number(entry.holder.incarnation);
+        record->set_number(entry.holder.number);
+        record->set_closed(entry.closed);
+        record->set_age_milliseconds(static_cast<std::uint32_t>(std::max(0.0, (now - entry.at).count)));
+    }
+}
+
+void ClaimRecords::merge(const peers::SlotRecords& message, Milliseconds now)
+{
+    for (const peers::ClaimRecord& record : message.records()) {
+        ClaimEntry entry;
+        entry.holder = { .incarnation = record.claimant().number(), .number = record.number() };
+        entry.attempt = record.attempt();
+        entry.closed = record.closed();
+        entry.at = now - Milliseconds{ static_cast<double>(record.age_milliseconds()) };
+        this->entries.insert_or_assign(record.request_id(), entry);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/Peers/Http2Session.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Metrics/TrafficMetrics.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <nghttp2/nghttp2.h>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlreach {
+
+/** The largest message that one instance takes from another. */
+inline constexpr std::size_t MaximumPeerMessageBytes = 2097152;
+
+/** The path under which messages of this version are sent. */
+inline constexpr std::string_view PeerMessagePath = "/burlreach.peers.v1";
+
+/**
+ * One connection between two instances: a stream of nghttp2 for each message,
+ * moved by Asio. Lives as long as something is read or written on it.
+ */
+class Http2Session : public std::enable_shared_from_this<Http2Session> {
+public:
+    enum class Side {
+        Client,
+        Server
+    };
+
+    Http2Session(asio::ip::tcp::socket socket, Side side, TrafficMetrics& metrics);
+    virtual ~Http2Session();
+    Http2Session(const Http2Session&) = delete;
+    Http2Session& operator=(const Http2Session&) = delete;
+
+    /** Sends the settings and begins to read. */
+    void open();
+    void close();
+    bool isOpen() const { return this->socket.is_open() && !this->closed; }
+
+protected:
+    /** Sends a request with this body; streamClosed() tells of its end. */
+    void submitMessage(std::string body);
+    void submitStatus(std::int32_t stream, std::string_view status);
+    std::size_t openStreams() const { return this->bodies.size(); }
+
+    virtual void bodyReceived(std::int32_t stream, std::span<const std::uint8_t> part) = 0;
+    virtual void requestEnded(std::int32_t stream) = 0;
+    virtual void streamClosed(std::int32_t stream) = 0;
+    virtual void sessionClosed() = 0;
+
+    asio::ip::tcp::socket socket;
+
+private:
+    /** What is still to be sent of a message. */
+    struct Body {
+        std::int32_t stream = 0;
+        std::string bytes;
+        std::size_t sent = 0;
+    };
+
+    static int onData(nghttp2_session* session, std::uint8_t flags, std::int32_t stream, const std::uint8_t* data,
+        std::size_t size, void* user);
+    static int onFrame(nghttp2_session* session, const nghttp2_frame* frame, void* user);
+    static int onStreamClose(nghttp2_session* session, std::int32_t stream, std::uint32_t error, void* user);
+    static ssize_t readBody(nghttp2_session* session, std::int32_t stream, std::uint8_t* buffer, std::size_t size,
+        std::uint32_t* flags, nghttp2_data_source* source, void* user);
+
+    void read();
+    void flush();
+    ssize_t copyBody(std::int32_t stream, std::span<std::uint8_t> buffer, std::uint32_t& flags);
+
+    TrafficMetrics* metrics;
+    nghttp2_session* session = nullptr;
+    std::array<std::uint8_t, 16384> input{};
+    std::vector<std::uint8_t> output;
+    bool isWriting = false;
+    bool closed = false;
+    std::deque<Body> bodies;
+};
+
+}
--- /dev/null
+++ b/Source/Peers/PeerClientSession.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Peers/Http2Session.h"
+
+namespace burlreach {
+
+/** A connection on which this instance sends its messages. */
+class PeerClientSession final : public Http2Session {
+public:
+    using Http2Session::Http2Session;
+
+    void send(std::string message) { this->submitMessage(std::move(message)); }
+    std::size_t unanswered() const { return this->openStreams(); }
+
+private:
+    void bodyReceived(std::int32_t, std::span<const std::uint8_t>) override { }
+    void requestEnded(std::int32_t) override { }
+    void streamClosed(std::int32_t) override { }
+    void sessionClosed() override { }
+};
+
+}
--- /dev/null
+++ b/Source/Program/ControlClient.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Base/NetworkAddress.h"
+
+#include <google/protobuf/message.h>
+#include <httplib.h>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace burlreach {
+
+/** Makes operators' calls to one instance. */
+class ControlClient {
+public:
+    explicit ControlClient(const NetworkAddress& address);
+
+    /** Gives what went wrong, or nothing when the answer was read. */
+    std::optional<std::string> call(
+        std::string_view method, const google::protobuf::Message& request, google::protobuf::Message& answer);
+
+private:
+    httplib::Client client;
+};
+
+}
--- /dev/null
+++ b/Source/Routing/BackendServerState.cpp
@@ -0,0 +1,132 @@
+#include "Routing/BackendServerState.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+namespace {
+
+constexpr std::size_t DefaultSlots = 3;
+
+NetworkAddress addressOf(const v1::BackendServer& server)
+{
+    return { .host = server.address(), .port = static_cast<std::uint16_t>(server.port()) };
+}
+
+}
+
+BackendServerState::BackendServerState(const v1::BackendServer& server)
+    : serverName(server.name())
+    , serverAddress(addressOf(server))
+    , limit({})
+{
+}
+
+void BackendServerState::configure(const v1::BackendServer& server, double highestInFlight)
+{
+    const NetworkAddress address = addressOf(server);
+    if (address != this->serverAddress) {
+        this->responses.clear();
+        this->lastReport = {};
+        this->others = 0;
+        this->failures = 0;
+        this->leaving = false;
+        this->leavingAt = LongAgo;
+        this->ejectedUntil = LongAgo;
+        this->limit.restart();
+    }
+    this->serverAddress = address;
+    this->serverDataCentre = server.data_centre();
+    this->slotCount = server.slots() ? server.slots() : DefaultSlots;
+    this->draining = server.draining();
+    this->limit.setHighest(highestInFlight);
+}
+
+void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
+{
+    this->flights.push_back({ .attempt = attempt, .sentAt = now });
+}
+
+Milliseconds BackendServerState::ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds now)
+{
+    const auto flight = std::find_if(
+        this->flights.begin(), this->flights.end(), [attempt](const Flight& item) { return item.attempt == attempt; });
+    if (flight == this->flights.end())
+        return {};
+    const Milliseconds response = now - flight->sentAt;
+    this->flights.erase(flight);
+    this->learn(end, response, now);
+    return response;
+}
+
+void BackendServerState::learn(const AttemptEnd& end, Milliseconds response, Milliseconds now)
+{
+    switch (end.result) {
+    case AttemptResult::Answered:
+        this->failures = 0;
+        this->ejectionCount = 0;
+        this->responses.add(response, now);
+        this->limit.succeeded(this->inFlight(), response, this->responses.unloaded(), now);
+        break;
+    case AttemptResult::RefusedNotRun:
+        // A full backend server is healthy: fewer requests, no failure.
+        this->limit.overloaded(response, now);
+        break;
+    case AttemptResult::TimedOut:
+        this->responses.add(response, now);
+        this->limit.overloaded(response, now);
+        this->failed();
+        break;
+    case AttemptResult::ErrorAnswer:
+    case AttemptResult::NotSent:
+    case AttemptResult::Broken:
+        this->failed();
+        break;
+    case AttemptResult::Cancelled:
+        break;
+    }
+}
+
+void BackendServerState::failed()
+{
+    ++this->failures;
+}
+
+bool BackendServerState::reported(const LoadReport& report)
+{
+    if (report.at <= this->lastReport.at)
+        return false;
+    this->lastReport = report;
+    const double reportedCount = report.inFlight;
+    this->others = std::max(0.0, reportedCount - static_cast<double>(this->inFlight()));
+    return true;
+}
+
+bool BackendServerState::leavingSign(bool says, Milliseconds at)
+{
+    if (at <= this->leavingAt)
+        return false;
+    this->leavingAt = at;
+    const bool changed = this->leaving != says;
+    this->leaving = says;
+    if (changed && !says)
+        this->limit.restart();
+    return changed;
+}
+
+void BackendServerState::eject(Milliseconds until)
+{
+    this->ejectedUntil = until;
+    this->failures = 0;
+    ++this->ejectionCount;
+    this->limit.restart();
+}
+
+Milliseconds BackendServerState::oldestAge(Milliseconds now) const
+{
+    if (this->flights.empty())
+        return {};
+    return now - this->flights.front().sentAt;
+}
+
+}
--- /dev/null
+++ b/Source/Routing/RoundRobinPolicy.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Routing/RoutingPolicy.h"
+
+namespace burlreach {
+
+/** Baseline: the candidates in turn. */
+class RoundRobinPolicy final : public RoutingPolicy {
+public:
+    BackendServerState* choose(
+        std::span<BackendServerState* const> candidates, const RoutingContext& context, Random& random) override;
+    std::string_view name() const override { return "round-robin"; }
+
+private:
+    std::size_t next = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Settings/SettingsReaderTest.cpp
@@ -0,0 +1,75 @@
+#include "Settings/SettingsReader.h"
+
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+struct Case {
+    const char* name;
+    const char* text;
+    std::vector<const char*> places; // of the findings, in order
+};
+
+constexpr const char* Good = R"({
+    "instance": { "name": "entry-1", "dataCentre": "dc-1" },
+    "listen": { "callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "[::1]:3" },
+    "platform": { "address": "10.0.0.1:8500" },
+    "log": { "format": "json", "level": "warning" }
+})";
+
+constexpr const char* FiveFaults = R"({
+    "instance": { "name": "entry-1" },
+    "listen": { "callers": "localhost:80", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3" },
+    "platform": { "address": "10.0.0.1:8500", "colour": 1 },
+    "sessions": { "maximum": 0 },
+    "log": { "format": "xml" }
+})";
+
+constexpr const char* Contradictions = R"({
+    "instance": { "name": "entry-1", "dataCentre": "dc-1" },
+    "listen": { "callers": "127.0.0.1:1", "operators": "127.0.0.1:1", "peers": "127.0.0.1:3" },
+    "platform": { "address": "10.0.0.1:8500" },
+    "stop": { "boundMilliseconds": 1000, "readinessLeadMilliseconds": 1000 }
+})";
+
+const std::vector<Case> Cases{
+    { "good", Good, {} },
+    { "not JSON", "{", { "/" } },
+    { "not an object", "[]",
+        { "/", "/instance/name", "/instance/dataCentre", "/listen/callers", "/listen/operators", "/listen/peers",
+            "/platform/address" } },
+    { "five faults", FiveFaults,
+        { "/instance/dataCentre", "/listen/callers", "/platform/colour", "/sessions/maximum", "/log/format" } },
+    { "contradictions", Contradictions, { "/stop/readinessLeadMilliseconds", "/listen" } },
+};
+
+}
+
+TEST_GROUP(SettingsReader){};
+
+TEST(SettingsReader, GivesEveryFindingWithItsPlace)
+{
+    for (const Case& item : Cases) {
+        const SettingsResult result = SettingsReader().read(item.text);
+        LONGS_EQUAL_TEXT(item.places.size(), result.findings.all().size(), item.name);
+        for (std::size_t index = 0; index < item.places.size(); ++index) {
+            STRCMP_EQUAL_TEXT(item.places[index], result.findings.all()[index].place.c_str(), item.name);
+            CHECK_TEXT(result.findings.all()[index].message.find("; ") != std::string::npos,
+                "a finding says what to write instead");
+        }
+    }
+}
+
+TEST(SettingsReader, TakesWhatIsWritten)
+{
+    const Settings settings = SettingsReader().read(Good).settings;
+    STRCMP_EQUAL("::1", settings.peersAddress.host.c_str());
+    LONGS_EQUAL(8500, settings.platformAddress.port);
+    CHECK(settings.logFormat == LogFormat::Json);
+    CHECK(settings.logLevel == LogLevel::Warning);
+}
--- /dev/null
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -0,0 +1,162 @@
+// Stand-in for a backend server: three slots, a short queue, shedding, load
+// reports, a run journal, and a control port for faults.
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <httplib.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+namespace {
+
+constexpr int StatusUnavailable = 503;
+constexpr std::size_t ThreadCount = 300;
+constexpr std::size_t EndlessKeepAlive = 1000000000;
+constexpr const char* RequestIdHeader = "Burlreach-Request-Id";
+
+struct Options {
+    std::string name;
+    int port = 0;
+    int slots = 3;
+    int queue = 100;
+    double serviceMilliseconds = 2;
+};
+
+class BackendServerStandIn {
+public:
+    explicit BackendServerStandIn(Options givenOptions)
+        : options(std::move(givenOptions))
+    {
+        this->server.new_task_queue = [] { return new httplib::ThreadPool(ThreadCount); };
+        this->server.set_keep_alive_max_count(EndlessKeepAlive);
+        this->server.set_keep_alive_timeout(60);
+        this->server.set_tcp_nodelay(true);
+        this->server.Get("/burlreach/load", [this](const auto&, auto& response) { this->addLoad(response); });
+        this->server.Get("/control/journal", [this](const auto&, auto& response) { this->showJournal(response); });
+        this->server.Put(
+            R"(/control/fault/(.+))", [this](const auto& request, auto&) { this->setFault(request.matches[1]); });
+        this->server.Get(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
+        this->server.Post(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
+        this->server.Put(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
+    }
+
+    bool listen() { return this->server.listen("127.0.0.1", this->options.port); }
+
+private:
+    void addLoad(httplib::Response& response)
+    {
+        const std::lock_guard lock(this->mutex);
+        response.set_header("Burlreach-Load", std::to_string(this->running + this->waiting));
+        if (this->fault == "leaving")
+            response.set_header("Burlreach-Leaving", "1");
+    }
+
+    bool enter()
+    {
+        std::unique_lock lock(this->mutex);
+        if (this->waiting >= this->options.queue || this->fault == "shed")
+            return false;
+        ++this->waiting;
+        this->changed.wait(lock, [this] { return this->running < this->options.slots && this->fault != "frozen"; });
+        --this->waiting;
+        ++this->running;
+        return true;
+    }
+
+    void leave()
+    {
+        const std::lock_guard lock(this->mutex);
+        --this->running;
+        this->changed.notify_all();
+    }
+
+    void work()
+    {
+        const double factor = this->isFault("slow") ? 10 : 1;
+        std::this_thread::sleep_for(
+            std::chrono::duration<double, std::milli>(this->options.serviceMilliseconds * factor));
+    }
+
+    bool isFault(const char* name)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->fault == name;
+    }
+
+    void serve(const httplib::Request& request, httplib::Response& response)
+    {
+        const std::string requestId = request.get_header_value(RequestIdHeader);
+        if (!this->enter()) {
+            response.status = StatusUnavailable;
+            response.set_header("Burlreach-Not-Run", "1");
+            this->addLoad(response);
+            return;
+        }
+        if (request.method != "GET" && !requestId.empty()) {
+            const std::lock_guard lock(this->mutex);
+            ++this->journal[requestId];
+        }
+        this->work();
+        this->leave();
+        this->addLoad(response);
+        if (this->isFault("fail")) {
+            response.status = StatusUnavailable;
+            return;
+        }
+        if (!requestId.empty())
+            response.set_header(RequestIdHeader, requestId);
+        response.set_header("Backend-Server", this->options.name);
+        const std::string echo = request.get_header_value("Echo");
+        const std::string body
+            = "{\"echo\":\"" + echo + "\",\"body_bytes\":" + std::to_string(request.body.size()) + "}\n";
+        if (!this->isFault("cut"))
+            return response.set_content(body, "application/json");
+        // The body ends in the middle.
+        response.set_content_provider(
+            body.size(), "application/json", [body](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+                return offset == 0 && sink.write(body.data(), body.size() / 2);
+            });
+    }
+
+    void showJournal(httplib::Response& response)
+    {
+        const std::lock_guard lock(this->mutex);
+        response.set_content(nlohmann::json(this->journal).dump(), "application/json");
+    }
+
+    void setFault(const std::string& name)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->fault = name == "none" ? "" : name;
+        this->changed.notify_all();
+    }
+
+    Options options;
+    httplib::Server server;
+    std::mutex mutex;
+    std::condition_variable changed;
+    int running = 0;
+    int waiting = 0;
+    std::string fault;
+    std::map<std::string, int> journal;
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App program("Stand-in for a backend server");
+    Options options;
+    program.add_option("--name", options.name, "Name told in answers")->required();
+    program.add_option("--port", options.port, "Port on 127.0.0.1")->required();
+    program.add_option("--slots", options.slots, "Requests worked on at once");
+    program.add_option("--queue", options.queue, "Requests waiting before it sheds");
+    program.add_option("--service-milliseconds", options.serviceMilliseconds, "Time for one request");
+    CLI11_PARSE(program, argc, argv);
+    BackendServerStandIn standIn(options);
+    return standIn.listen() ? 0 : 1;
+}
--- /dev/null
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -0,0 +1,187 @@
+// Stand-in for callers: sessions that send searches and bookings, check that
+// each answer is whole and their own, and print what became of them as JSON.
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <httplib.h>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Options {
+    std::vector<int> ports;
+    std::string host = "bookings.example";
+    std::string prefix = "caller";
+    int sessions = 4;
+    int requests = 100;
+    int bookingPercent = 20;
+    double pauseMilliseconds = 0;
+    int seconds = 0;
+};
+
+struct Tally {
+    std::map<std::string, int> outcomes;
+    std::map<std::string, int> reasons;
+    std::map<std::string, int> servers;
+    std::vector<double> milliseconds;
+    std::vector<std::string> answeredBookings;
+    std::vector<std::string> notRunBookings;
+    int reconnects = 0;
+};
+
+class CallerStandIn {
+public:
+    explicit CallerStandIn(Options givenOptions)
+        : options(std::move(givenOptions))
+        , end(Clock::now() + std::chrono::seconds(this->options.seconds))
+    {
+    }
+
+    Tally run()
+    {
+        std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(this->options.sessions));
+        for (int index = 0; index < this->options.sessions; ++index)
+            threads.emplace_back([this, index] { this->session(index); });
+        for (std::thread& thread : threads)
+            thread.join();
+        return this->tally;
+    }
+
+private:
+    void session(int index)
+    {
+        std::size_t turn = static_cast<std::size_t>(index);
+        auto client = this->connect(turn);
+        for (int count = 0; !this->isDone(count); ++count) {
+            const bool isBooking = (count * 37 + index * 11) % 100 < this->options.bookingPercent;
+            const std::string id = this->options.prefix + "-" + std::to_string(index) + "-" + std::to_string(count);
+            this->request(client, turn, id, isBooking);
+            if (this->options.pauseMilliseconds > 0)
+                std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(this->options.pauseMilliseconds));
+        }
+    }
+
+    bool isDone(int count) const
+    {
+        return this->options.seconds ? Clock::now() >= this->end : count >= this->options.requests;
+    }
+
+    std::unique_ptr<httplib::Client> connect(std::size_t turn) const
+    {
+        const int port = this->options.ports[turn % this->options.ports.size()];
+        auto client = std::make_unique<httplib::Client>("127.0.0.1", port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_read_timeout(30);
+        return client;
+    }
+
+    httplib::Result send(httplib::Client& client, const std::string& id, bool isBooking) const
+    {
+        httplib::Headers headers{ { "Host", this->options.host }, { "Echo", id } };
+        if (!isBooking)
+            return client.Get("/search?from=a&to=b", headers);
+        headers.emplace("Burlreach-Request-Id", id);
+        headers.emplace("Burlreach-Attempt", "1");
+        return client.Post("/bookings", headers, std::string(200, 'x'), "application/json");
+    }
+
+    void request(std::unique_ptr<httplib::Client>& client, std::size_t& turn, const std::string& id, bool isBooking)
+    {
+        auto start = Clock::now();
+        auto result = this->send(*client, id, isBooking);
+        // Connecting to a balancer that has gone is no failure of a request.
+        for (std::size_t tries = 0;
+             !result && result.error() == httplib::Error::Connection && tries < this->options.ports.size(); ++tries) {
+            client = this->connect(++turn);
+            start = Clock::now();
+            result = this->send(*client, id, isBooking);
+            const std::lock_guard lock(this->mutex);
+            ++this->tally.reconnects;
+        }
+        const std::chrono::duration<double, std::milli> took = Clock::now() - start;
+        this->note(result, id, isBooking, took.count());
+    }
+
+    void note(const httplib::Result& result, const std::string& id, bool isBooking, double took)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!result) {
+            ++this->tally.outcomes["cut: " + httplib::to_string(result.error())];
+            return;
+        }
+        std::string outcome = result->get_header_value("Burlreach-Outcome");
+        if (outcome.empty())
+            outcome = result->status == 200 ? "answered" : "status " + std::to_string(result->status);
+        const bool isOwn
+            = result->body.find("\"echo\":\"" + id + "\"") != std::string::npos && result->body.back() == '\n';
+        if (outcome == "answered" && result->status == 200 && !isOwn)
+            outcome = "not its own or not whole";
+        ++this->tally.outcomes[outcome];
+        this->tally.milliseconds.push_back(took);
+        if (result->has_header("Burlreach-Reason"))
+            ++this->tally.reasons[result->get_header_value("Burlreach-Reason")];
+        if (result->has_header("Backend-Server"))
+            ++this->tally.servers[std::string(isBooking ? "booking " : "search ")
+                + result->get_header_value("Backend-Server")];
+        if (isBooking && outcome == "answered")
+            this->tally.answeredBookings.push_back(id);
+        if (isBooking && outcome == "not-run")
+            this->tally.notRunBookings.push_back(id);
+    }
+
+    Options options;
+    Clock::time_point end;
+    std::mutex mutex;
+    Tally tally;
+};
+
+double quantile(std::vector<double>& values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App program("Stand-in for callers");
+    Options options;
+    program.add_option("--port", options.ports, "Ports of balancers on 127.0.0.1")->required();
+    program.add_option("--host", options.host, "Host value");
+    program.add_option("--prefix", options.prefix, "Begins every request id");
+    program.add_option("--sessions", options.sessions, "Sessions at once");
+    program.add_option("--requests", options.requests, "Requests in each session");
+    program.add_option("--seconds", options.seconds, "Send for so long instead");
+    program.add_option("--booking-percent", options.bookingPercent, "Share of bookings");
+    program.add_option("--pause-milliseconds", options.pauseMilliseconds, "Between two requests of a session");
+    CLI11_PARSE(program, argc, argv);
+    Tally tally = CallerStandIn(options).run();
+    const std::size_t answered = tally.milliseconds.size();
+    const nlohmann::json result{
+        { "outcomes", tally.outcomes },
+        { "reasons", tally.reasons },
+        { "servers", tally.servers },
+        { "reconnects", tally.reconnects },
+        { "requests", answered },
+        { "p50_milliseconds", quantile(tally.milliseconds, 0.5) },
+        { "p99_milliseconds", quantile(tally.milliseconds, 0.99) },
+        { "answered_bookings", tally.answeredBookings },
+        { "not_run_bookings", tally.notRunBookings },
+    };
+    std::cout << result.dump(1) << '\n';
+    return 0;
+}
--- /dev/null
+++ b/Utilities/CMake/BurlreachLibraries.cmake
@@ -0,0 +1,25 @@
+# The libraries of Utilities/packages.txt, as targets.
+find_package(Threads REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS log log_setup thread)
+
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+
+# The flags of the library's package decide the layout of its classes.
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+add_library(burlreach_httplib INTERFACE)
+target_link_libraries(burlreach_httplib INTERFACE PkgConfig::HTTPLIB Threads::Threads)
+
+add_library(burlreach_asio INTERFACE)
+target_compile_definitions(burlreach_asio INTERFACE ASIO_STANDALONE ASIO_NO_DEPRECATED)
+target_link_libraries(burlreach_asio INTERFACE Threads::Threads)
+
+add_library(burlreach_boost_log INTERFACE)
+target_compile_definitions(burlreach_boost_log INTERFACE BOOST_LOG_DYN_LINK)
+target_link_libraries(burlreach_boost_log INTERFACE Boost::log Boost::log_setup Boost::thread)
