Say "not run" only of what nobody can run

The attempt number rose with every repeat, so a closed id was opened again by a repeat that was sent before the caller was told "not run". Now the number rises only after such an answer. A closing known to the primary alone was told to callers; when the backup took over it knew nothing and granted.

--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -10,7 +10,6 @@
     "no_service",
     "bad_request",
     "not_ready",
-    "stopping",
     "too_many_sessions",
     "body_too_large",
     "queue_full",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -10,7 +10,6 @@
     NoService, // no service has this Host value
     BadRequest, // a header of ours cannot be read
     NotReady, // no configuration is known yet
-    Stopping, // this instance takes no new requests
     TooManySessions,
     BodyTooLarge,
     QueueFull,
--- a/Source/Node/Actions.h
+++ b/Source/Node/Actions.h
@@ -21,6 +21,15 @@
     Unknown // it may have run
 };
 
+/**
+ * Of a request that is refused before anything was claimed: another instance
+ * may have taken the same id, unless the caller gave none.
+ */
+constexpr RefusedOutcome outcomeWithoutClaim(bool hasRequestId)
+{
+    return hasRequestId ? RefusedOutcome::Unknown : RefusedOutcome::NotRun;
+}
+
 /** Send the request to a backend server; report the end with AttemptEnded. */
 struct SendAttempt {
     RequestNumber request = 0;
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -34,6 +34,7 @@
 /** A request was refused before its decisions began; it is only counted. */
 struct RefusedEarly {
     RefusalReason reason = RefusalReason::TooManySessions;
+    bool hasRequestId = false;
 };
 
 /** The caller closed its connection and takes no answer any more. */
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -92,7 +92,8 @@
 void Node::dispatch(const RefusedEarly& event, Milliseconds, Actions&, Outbox&)
 {
     this->decisionCounters.add(event.reason);
-    this->decisionCounters.add(DecisionCount::RefusedNotRun);
+    const bool isNotRun = outcomeWithoutClaim(event.hasRequestId) == RefusedOutcome::NotRun;
+    this->decisionCounters.add(isNotRun ? DecisionCount::RefusedNotRun : DecisionCount::RefusedUnknown);
 }
 
 void Node::dispatch(const CallerGone& event, Milliseconds now, Actions& actions, Outbox& outbox)
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t VouchedFirstAttempt = 1;
 /** Issued ids are tried for a slot that grants without asking another instance. */
 constexpr unsigned MostIdTries = 128;
 
@@ -54,13 +53,14 @@
     request.arrivedAt = now;
     request.deadline = now;
     request.isRetryOfOthers = event.isRetry;
+    const RefusedOutcome unclaimed = outcomeWithoutClaim(!event.requestId.empty());
     if (!event.isReadable)
-        return this->refuseAs(request, RefusedOutcome::NotRun, RefusalReason::BadRequest, now, actions);
+        return this->refuseAs(request, unclaimed, RefusalReason::BadRequest, now, actions);
     if (!this->parts.services->isConfigured())
-        return this->refuseAs(request, RefusedOutcome::NotRun, RefusalReason::NotReady, now, actions);
+        return this->refuseAs(request, unclaimed, RefusalReason::NotReady, now, actions);
     request.service = this->parts.services->byHost(event.host);
     if (!request.service)
-        return this->refuseAs(request, RefusedOutcome::NotRun, RefusalReason::NoService, now, actions);
+        return this->refuseAs(request, unclaimed, RefusalReason::NoService, now, actions);
     request.kind = classify(request.service->service, event.method, event.path, request.service->limits.deadline);
     if (event.priority)
         request.kind.priority = *event.priority;
@@ -97,9 +97,8 @@
     request.claim.attempt = event.attempt;
     if (event.requestId.empty()) {
         request.claim.requestId = this->issueRequestId(now);
-        request.claim.attempt = VouchedFirstAttempt;
+        request.claim.issued = true;
     }
-    request.isFirstForSure = request.claim.attempt == VouchedFirstAttempt;
     this->parts.claims->begin(request.claim, now, outbox);
 }
 
@@ -290,9 +289,9 @@
 {
     if (request.mayHaveRun)
         return RefusedOutcome::Unknown;
-    if (!request.isRunOnce() || request.granted || request.isFirstForSure)
+    if (!request.isRunOnce() || request.granted || request.claim.issued)
         return RefusedOutcome::NotRun;
-    // An earlier attempt with this id may have run elsewhere.
+    // Another attempt with this id may have run elsewhere, or still may.
     return RefusedOutcome::Unknown;
 }
 
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -29,7 +29,6 @@
     std::shared_ptr<ServiceState> service;
     RequestClass kind;
     ClaimRequest claim;
-    bool isFirstForSure = false; // no earlier attempt can exist: vouched for, or the id was issued here
     bool isRetryOfOthers = false;
     RequestPhase phase = RequestPhase::Waiting;
     Milliseconds arrivedAt;
--- a/Source/Ownership/ClaimClient.cpp
+++ b/Source/Ownership/ClaimClient.cpp
@@ -75,6 +75,7 @@
     claim->set_claimant_port(this->self.port());
     claim->set_number(request.number);
     claim->set_close(close);
+    claim->set_issued(request.issued);
     outbox.sendToPeer(
         { .host = primary->address(), .port = static_cast<std::uint16_t>(primary->port()) }, std::move(message));
 }
--- a/Source/Ownership/ClaimClient.h
+++ b/Source/Ownership/ClaimClient.h
@@ -17,6 +17,7 @@
     std::uint64_t number = 0;
     std::string requestId;
     std::uint32_t attempt = 0; // as the caller gave it; 0: not given
+    bool issued = false; // made here: nobody else can have used it
 };
 
 /** Asks the owners of request ids for the right to send run-once requests. */
--- a/Source/Ownership/ClaimLedger.cpp
+++ b/Source/Ownership/ClaimLedger.cpp
@@ -22,9 +22,6 @@
     return entry;
 }
 
-/** An explicit first attempt: the caller vouches that it never sent the id before. */
-constexpr std::uint32_t VouchedFirstAttempt = 1;
-
 }
 
 ClaimLedger::ClaimLedger(Options givenOptions)
@@ -144,7 +141,7 @@
     const ClaimEntry* known = owned.records.find(claim.request_id());
     const ClaimHolder holder = entryOf(claim, now).holder;
     if (!known) {
-        if (now < owned.lostUntil && claim.attempt() != VouchedFirstAttempt)
+        if (now < owned.lostUntil && !claim.issued())
             return peers::ClaimAnswer::RECORDS_LOST;
         if (this->recordCount() >= this->options.mostRecords)
             return peers::ClaimAnswer::NO_ROOM;
@@ -160,6 +157,8 @@
 void ClaimLedger::claimAsPrimary(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox)
 {
     const peers::ClaimAnswer::Result result = this->judge(slot, claim, now);
+    if (result == peers::ClaimAnswer::CLOSED_NOT_RUN)
+        return this->passOnClosed(slot, claim, now, outbox);
     if (result != peers::ClaimAnswer::GRANTED)
         return this->answer(claim, result, outbox);
     ClaimRecords& records = this->slots[slot].records;
@@ -167,7 +166,7 @@
     const ClaimEntry* known = records.find(claim.request_id());
     if (!known || !(known->holder == entry.holder))
         records.put(claim.request_id(), entry);
-    this->passOn(slot, claim, now, outbox);
+    this->passOn(slot, claim, outbox);
 }
 
 void ClaimLedger::closeAsPrimary(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox)
@@ -181,10 +180,10 @@
     if (!known && now < this->slots[slot].lostUntil)
         return;
     records.put(claim.request_id(), entry);
-    this->passOn(slot, claim, now, outbox);
+    this->passOn(slot, claim, outbox);
 }
 
-void ClaimLedger::passOn(std::size_t slot, const peers::Claim& claim, Milliseconds, Outbox& outbox)
+void ClaimLedger::passOn(std::size_t slot, const peers::Claim& claim, Outbox& outbox) const
 {
     const peers::Member* backup = backupOf(*this->ownership, slot);
     if (!backup) {
@@ -197,8 +196,24 @@
     outbox.sendToPeer(addressOf(*backup), std::move(message));
 }
 
+void ClaimLedger::passOnClosed(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox)
+{
+    const peers::Member* backup = backupOf(*this->ownership, slot);
+    if (!backup)
+        return this->answer(claim, peers::ClaimAnswer::CLOSED_NOT_RUN, outbox);
+    const ClaimEntry* known = this->slots[slot].records.find(claim.request_id());
+    peers::PeerMessage message;
+    *message.mutable_claim() = claim;
+    writeRecord(claim.request_id(), *known, now, *message.mutable_claim()->mutable_closed_by());
+    outbox.sendToPeer(addressOf(*backup), std::move(message));
+}
+
 void ClaimLedger::claimAsBackup(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox)
 {
+    if (claim.has_closed_by()) {
+        this->slots[slot].records.put(claim.request_id(), readRecord(claim.closed_by(), now));
+        return this->answer(claim, peers::ClaimAnswer::CLOSED_NOT_RUN, outbox);
+    }
     ClaimRecords& records = this->slots[slot].records;
     const ClaimEntry entry = entryOf(claim, now);
     const ClaimEntry* known = records.find(claim.request_id());
--- a/Source/Ownership/ClaimLedger.h
+++ b/Source/Ownership/ClaimLedger.h
@@ -70,7 +70,8 @@
     void closeAsPrimary(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox);
     void claimAsBackup(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox);
     peers::ClaimAnswer::Result judge(std::size_t slot, const peers::Claim& claim, Milliseconds now);
-    void passOn(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox);
+    void passOn(std::size_t slot, const peers::Claim& claim, Outbox& outbox) const;
+    void passOnClosed(std::size_t slot, const peers::Claim& claim, Milliseconds now, Outbox& outbox);
     void answer(const peers::Claim& claim, peers::ClaimAnswer::Result result, Outbox& outbox) const;
 
     Options options;
--- a/Source/Ownership/ClaimRecords.cpp
+++ b/Source/Ownership/ClaimRecords.cpp
@@ -4,6 +4,26 @@
 
 namespace burlreach {
 
+void writeRecord(std::string_view requestId, const ClaimEntry& entry, Milliseconds now, peers::ClaimRecord& record)
+{
+    record.set_request_id(std::string(requestId));
+    record.set_attempt(entry.attempt);
+    record.mutable_claimant()->set_number(entry.holder.incarnation);
+    record.set_number(entry.holder.number);
+    record.set_closed(entry.closed);
+    record.set_age_milliseconds(static_cast<std::uint32_t>(std::max(0.0, (now - entry.at).count)));
+}
+
+ClaimEntry readRecord(const peers::ClaimRecord& record, Milliseconds now)
+{
+    ClaimEntry entry;
+    entry.holder = { .incarnation = record.claimant().number(), .number = record.number() };
+    entry.attempt = record.attempt();
+    entry.closed = record.closed();
+    entry.at = now - Milliseconds{ static_cast<double>(record.age_milliseconds()) };
+    return entry;
+}
+
 ClaimEntry* ClaimRecords::find(std::string_view requestId)
 {
     const auto found = this->entries.find(std::string(requestId));
@@ -22,27 +42,14 @@
 
 void ClaimRecords::write(peers::SlotRecords& message, Milliseconds now) const
 {
-    for (const auto& [requestId, entry] : this->entries) {
-        peers::ClaimRecord* record = message.add_records();
-        record->set_request_id(requestId);
-        record->set_attempt(entry.attempt);
-        record->mutable_claimant()->set_number(entry.holder.incarnation);
-        record->set_number(entry.holder.number);
-        record->set_closed(entry.closed);
-        record->set_age_milliseconds(static_cast<std::uint32_t>(std::max(0.0, (now - entry.at).count)));
-    }
+    for (const auto& [requestId, entry] : this->entries)
+        writeRecord(requestId, entry, now, *message.add_records());
 }
 
 void ClaimRecords::merge(const peers::SlotRecords& message, Milliseconds now)
 {
-    for (const peers::ClaimRecord& record : message.records()) {
-        ClaimEntry entry;
-        entry.holder = { .incarnation = record.claimant().number(), .number = record.number() };
-        entry.attempt = record.attempt();
-        entry.closed = record.closed();
-        entry.at = now - Milliseconds{ static_cast<double>(record.age_milliseconds()) };
-        this->entries.insert_or_assign(record.request_id(), entry);
-    }
+    for (const peers::ClaimRecord& record : message.records())
+        this->entries.insert_or_assign(record.request_id(), readRecord(record, now));
 }
 
 }
--- a/Source/Ownership/ClaimRecords.h
+++ b/Source/Ownership/ClaimRecords.h
@@ -26,6 +26,10 @@
     Milliseconds at;
 };
 
+/** A record as it travels between instances. */
+void writeRecord(std::string_view requestId, const ClaimEntry& entry, Milliseconds now, peers::ClaimRecord& record);
+ClaimEntry readRecord(const peers::ClaimRecord& record, Milliseconds now);
+
 /** The claims of one slot, kept for a bounded time. */
 class ClaimRecords {
 public:
--- a/Source/Traffic/CallerExchange.h
+++ b/Source/Traffic/CallerExchange.h
@@ -34,9 +34,9 @@
 public:
     virtual ~CallerHandler() = default;
     virtual CallerAnswer answer(CallerRequest request) = 0;
-    /** The answer for a request that is refused before it is whole. */
-    virtual CallerAnswer refuseSession() = 0;
-    virtual CallerAnswer refuseBody() = 0;
+    /** The answers for requests that are refused before they are whole. */
+    virtual CallerAnswer refuseSession(bool hasRequestId) = 0;
+    virtual CallerAnswer refuseBody(bool hasRequestId) = 0;
 };
 
 /** True for headers that belong to one connection only. */
--- a/Source/Traffic/CallerServer.cpp
+++ b/Source/Traffic/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "Traffic/CallerServer.h"
 
 #include "Traffic/ConnectionThreads.h"
+#include "Traffic/Headers.h"
 
 #include <linux/filter.h>
 #include <strings.h>
@@ -79,9 +80,9 @@
     this->httplib::Server::Options("/", answer);
     this->set_tcp_nodelay(true);
     this->set_payload_max_length(this->options.maximumBodyBytes);
-    const Handler refuse = [this](const httplib::Request&, httplib::Response& response) {
+    const Handler refuse = [this](const httplib::Request& request, httplib::Response& response) {
         if (response.status == StatusTooLarge)
-            fill(response, this->handler->refuseBody());
+            fill(response, this->handler->refuseBody(request.has_header(RequestIdHeader)));
     };
     this->set_error_handler(refuse);
     this->new_task_queue = [] { return new ConnectionThreads; };
@@ -176,7 +177,7 @@
 void CallerServer::handle(const httplib::Request& request, httplib::Response& response)
 {
     if (setAside.refuses)
-        return fill(response, this->handler->refuseSession());
+        return fill(response, this->handler->refuseSession(request.has_header(RequestIdHeader)));
     CallerRequest whole;
     whole.socket = setAside.socket;
     whole.method = request.method;
--- a/Source/Traffic/Headers.h
+++ b/Source/Traffic/Headers.h
@@ -8,7 +8,7 @@
 
 /** Names the request; a run-once request with the same id runs at most once. */
 inline constexpr const char* RequestIdHeader = "Burlreach-Request-Id";
-/** 1 on the caller's first sending of an id, then 2 and so on. */
+/** 1 at first; a caller raises it by one only after an answer "not-run" for the id. */
 inline constexpr const char* AttemptHeader = "Burlreach-Attempt";
 /** Milliseconds until the caller no longer needs the answer. */
 inline constexpr const char* DeadlineHeader = "Burlreach-Deadline-Milliseconds";
--- a/Source/Traffic/RequestRunner.cpp
+++ b/Source/Traffic/RequestRunner.cpp
@@ -74,7 +74,7 @@
         return refusalAnswer(*refusal);
     const auto* pass = std::get_if<PassAnswer>(&ending);
     if (!pass)
-        return this->refuseEarly(RefusalReason::Stopping);
+        return {}; // the caller has left
     this->metrics->atBackendServer.add(session.atBackendServer());
     CallerAnswer answer = session.takeAnswer(pass->attempt);
     answer.headers.push_back({ .name = OutcomeHeader, .value = "answered" });
@@ -85,23 +85,24 @@
     return answer;
 }
 
-CallerAnswer RequestRunner::refuseEarly(RefusalReason reason)
+CallerAnswer RequestRunner::refuseEarly(RefusalReason reason, bool hasRequestId)
 {
     this->sink->post(RefusedEarly{ .reason = reason });
     RefuseRequest refusal;
     refusal.reason = reason;
+    refusal.outcome = outcomeWithoutClaim(hasRequestId);
     refusal.comeBackAfter = ComeBackAfterEarly;
     return refusalAnswer(refusal);
 }
 
-CallerAnswer RequestRunner::refuseSession()
+CallerAnswer RequestRunner::refuseSession(bool hasRequestId)
 {
-    return this->refuseEarly(RefusalReason::TooManySessions);
+    return this->refuseEarly(RefusalReason::TooManySessions, hasRequestId);
 }
 
-CallerAnswer RequestRunner::refuseBody()
+CallerAnswer RequestRunner::refuseBody(bool hasRequestId)
 {
-    return this->refuseEarly(RefusalReason::BodyTooLarge);
+    return this->refuseEarly(RefusalReason::BodyTooLarge, hasRequestId);
 }
 
 void RequestRunner::execute(const SendAttempt& action)
--- a/Source/Traffic/RequestRunner.h
+++ b/Source/Traffic/RequestRunner.h
@@ -21,8 +21,8 @@
     RequestRunner(const Clock& clock, EventSink& sink, TrafficMetrics& metrics);
 
     CallerAnswer answer(CallerRequest request) override;
-    CallerAnswer refuseSession() override;
-    CallerAnswer refuseBody() override;
+    CallerAnswer refuseSession(bool hasRequestId) override;
+    CallerAnswer refuseBody(bool hasRequestId) override;
 
     // What the decisions want done; from any thread.
     void execute(const SendAttempt& action);
@@ -38,7 +38,7 @@
 
 private:
     std::shared_ptr<RequestSession> find(RequestNumber number);
-    CallerAnswer refuseEarly(RefusalReason reason);
+    CallerAnswer refuseEarly(RefusalReason reason, bool hasRequestId);
     CallerAnswer finish(RequestSession& session, const std::string& requestId);
     void runAttempt(RequestSession& session, const SendAttempt& attempt);
     void runProbe(const Probe& probe);
