Choose by expected requests in flight, and hedge only what is light

Found one after the other: (1) the limit for each backend server shrank on slow answers, measured against the fastest answer, which with mixed requests is always far below the mean; (2) the time to answer was part of every score, and its noise drew all instances to the server that looked fast; (3) hedges doubled the heavy requests that can wait, a third more load.

Change: limits follow refusals only; the score is the expected number of requests in flight for each slot, multiplied only when a server is far slower than its pool or own requests hang there; only requests of the first priority are hedged. Probes are scheduled after the cheap checks.

--- a/Source/Measurement/ProbeScheduler.cpp
+++ b/Source/Measurement/ProbeScheduler.cpp
@@ -36,8 +36,9 @@
 {
     std::vector<Probe> probes;
     for (Entry& entry : this->entries) {
-        const bool isFresh = now - adviser.loadKnownAt(entry.target) < this->options.freshEnough;
-        if (entry.underWay || isFresh || !adviser.mayProbe(entry.target, now) || !entry.budget.hasRoom(now))
+        if (entry.underWay || !adviser.mayProbe(entry.target, now) || !entry.budget.hasRoom(now))
+            continue;
+        if (now - adviser.loadKnownAt(entry.target) < this->options.freshEnough)
             continue;
         entry.underWay = ++this->last;
         entry.budget.started(entry.underWay, now);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -255,7 +255,7 @@
         load->set_data_centre(server->dataCentre());
         load->set_own_in_flight(static_cast<std::uint32_t>(server->inFlight()));
         load->set_state(stateOf(*server, now));
-        load->set_response_milliseconds(server->response().value().count);
+        load->set_response_milliseconds(server->serviceTime().value().count);
         if (server->report().at == LongAgo)
             continue;
         load->set_reported_in_flight(server->report().inFlight);
--- a/Source/Node/PolicyFactory.h
+++ b/Source/Node/PolicyFactory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Routing/RoutingPolicy.h"
+#include "Routing/ServicePool.h"
 
 #include <memory>
 
@@ -11,6 +12,7 @@
 public:
     virtual ~PolicyFactory() = default;
     virtual std::unique_ptr<RoutingPolicy> create() const = 0;
+    virtual ServicePool::Options poolOptions() const { return {}; }
 };
 
 }
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -170,8 +170,7 @@
     }
     const AttemptNumber attempt = ++this->lastAttempt;
     request.phase = RequestPhase::Sending;
-    const bool hedges = this->options.hedges && !request.isRunOnce() && !request.isRetryOfOthers
-        && request.service->usualResponse.known();
+    const bool hedges = this->options.hedges && request.mayBeHedged() && request.service->usualResponse.known();
     request.hedgeAt
         = hedges ? now + std::max(request.service->usualResponse.value(), this->options.shortestHedge) : Never;
     server->sent(attempt, now);
@@ -211,7 +210,7 @@
 {
     BackendServerState& server = *flight.server;
     const Milliseconds response = server.ended(flight.attempt, end, now);
-    if (end.result == AttemptResult::Answered)
+    if (end.result == AttemptResult::Answered && request.mayBeHedged())
         request.service->usualResponse.add(response);
     if (end.reportedInFlight)
         this->parts.loads->reported(server, *end.reportedInFlight, now);
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -41,6 +41,8 @@
     std::vector<std::shared_ptr<BackendServerState>> tried;
 
     bool isRunOnce() const { return this->kind.repeat == v1::RUN_ONCE; }
+    /** Heavy requests that can wait would only double their load. */
+    bool mayBeHedged() const { return !this->isRunOnce() && !this->isRetryOfOthers && this->kind.priority != v1::CAN_WAIT; }
 };
 
 }
--- a/Source/Node/ServiceState.cpp
+++ b/Source/Node/ServiceState.cpp
@@ -11,8 +11,8 @@
 
 }
 
-ServiceState::ServiceState(std::unique_ptr<RoutingPolicy> policy)
-    : pool(std::move(policy))
+ServiceState::ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions)
+    : pool(std::move(policy), poolOptions)
     , retryBudget(EffectiveLimits{}.retryShare)
     , usualResponse(HedgeQuantile)
 {
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -14,7 +14,7 @@
 
 /** All that this instance knows and holds for one service. */
 struct ServiceState {
-    explicit ServiceState(std::unique_ptr<RoutingPolicy> policy);
+    ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions);
 
     void configure(const v1::Service& description, std::size_t instances);
 
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -18,7 +18,7 @@
     for (const v1::Service& service : configuration.services()) {
         auto state = this->byName(service.name());
         if (!state)
-            state = std::make_shared<ServiceState>(this->factory->create());
+            state = std::make_shared<ServiceState>(this->factory->create(), this->factory->poolOptions());
         state->configure(service, instances);
         for (const std::string& host : service.hosts())
             this->hosts.emplace(host, state);
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -26,7 +26,7 @@
 {
     const NetworkAddress address = addressOf(server);
     if (address != this->serverAddress) {
-        this->responses.clear();
+        this->serviceTimes.clear();
         this->lastReport = {};
         this->others = 0;
         this->failures = 0;
@@ -39,12 +39,13 @@
     this->serverDataCentre = server.data_centre();
     this->slotCount = server.slots() ? server.slots() : DefaultSlots;
     this->draining = server.draining();
+    this->mostInFlight = highestInFlight;
     this->limit.setHighest(highestInFlight);
 }
 
 void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
 {
-    this->flights.push_back({ .attempt = attempt, .sentAt = now });
+    this->flights.push_back({.attempt = attempt, .sentAt = now, .crowd = this->crowd()});
 }
 
 Milliseconds BackendServerState::ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds now)
@@ -53,28 +54,29 @@
         this->flights.begin(), this->flights.end(), [attempt](const Flight& item) { return item.attempt == attempt; });
     if (flight == this->flights.end())
         return {};
-    const Milliseconds response = now - flight->sentAt;
+    const Flight ended = *flight;
     this->flights.erase(flight);
-    this->learn(end, response, now);
-    return response;
+    this->learn(end, ended, now);
+    return now - ended.sentAt;
 }
 
-void BackendServerState::learn(const AttemptEnd& end, Milliseconds response, Milliseconds now)
+void BackendServerState::learn(const AttemptEnd& end, const Flight& flight, Milliseconds now)
 {
+    const Milliseconds response = now - flight.sentAt;
     switch (end.result) {
     case AttemptResult::Answered:
         this->failures = 0;
         this->ejectionCount = 0;
-        this->responses.add(response, now);
-        this->limit.succeeded(this->inFlight(), response, this->responses.unloaded(), now);
+        this->serviceTimes.add(response, flight.crowd, now);
+        this->limit.succeeded(this->inFlight(), end.reportedInFlight.value_or(0) / static_cast<double>(this->slotCount), now);
         break;
     case AttemptResult::RefusedNotRun:
         // A full backend server is healthy: fewer requests, no failure.
-        this->limit.overloaded(response, now);
+        this->limit.overloaded(now);
         break;
     case AttemptResult::TimedOut:
-        this->responses.add(response, now);
-        this->limit.overloaded(response, now);
+        this->serviceTimes.add(response, flight.crowd, now);
+        this->limit.overloaded(now);
         this->failed();
         break;
     case AttemptResult::ErrorAnswer:
@@ -87,6 +89,19 @@
     }
 }
 
+double BackendServerState::crowd() const
+{
+    const double expected = static_cast<double>(this->inFlight()) + this->others + 1;
+    return std::max(1.0, expected / static_cast<double>(this->slotCount));
+}
+
+bool BackendServerState::hasRoom() const
+{
+    if (this->adaptive)
+        return this->limit.hasRoom(this->inFlight());
+    return static_cast<double>(this->inFlight()) + 1 <= this->mostInFlight;
+}
+
 void BackendServerState::failed()
 {
     ++this->failures;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -5,7 +5,7 @@
 #include "Routing/AttemptResult.h"
 #include "Routing/ConcurrencyLimit.h"
 #include "Routing/LoadReport.h"
-#include "Routing/ResponseEstimate.h"
+#include "Routing/ServiceTimeEstimate.h"
 #include "configuration.pb.h"
 
 #include <string>
@@ -36,7 +36,9 @@
     std::size_t slots() const { return this->slotCount; }
 
     std::size_t inFlight() const { return this->flights.size(); }
-    bool hasRoom() const { return this->limit.hasRoom(this->inFlight()); }
+    bool hasRoom() const;
+    /** Without limits of its own only the share of connections counts. */
+    void setAdaptive(bool adapts) { this->adaptive = adapts; }
     double concurrency() const { return this->limit.value(); }
     bool isLeaving() const { return this->leaving; }
     /** When the latest sign of leaving or staying was given. */
@@ -51,7 +53,9 @@
     const LoadReport& report() const { return this->lastReport; }
     /** Requests in flight here from others, when the report was made. */
     double reportedOthers() const { return this->others; }
-    const ResponseEstimate& response() const { return this->responses; }
+    const ServiceTimeEstimate& serviceTime() const { return this->serviceTimes; }
+    /** Requests for each slot when one more is sent; at least 1. */
+    double crowd() const;
     /** How long the oldest request has been in flight; zero with none. */
     Milliseconds oldestAge(Milliseconds now) const;
 
@@ -59,9 +63,10 @@
     struct Flight {
         AttemptNumber attempt = 0;
         Milliseconds sentAt;
+        double crowd = 1;
     };
 
-    void learn(const AttemptEnd& end, Milliseconds response, Milliseconds now);
+    void learn(const AttemptEnd& end, const Flight& flight, Milliseconds now);
     void failed();
 
     std::string serverName;
@@ -73,7 +78,9 @@
     Milliseconds leavingAt = LongAgo;
     std::vector<Flight> flights;
     ConcurrencyLimit limit;
-    ResponseEstimate responses;
+    bool adaptive = true;
+    double mostInFlight = 1;
+    ServiceTimeEstimate serviceTimes;
     LoadReport lastReport;
     double others = 0;
     unsigned failures = 0;
--- a/Source/Routing/ConcurrencyLimit.cpp
+++ b/Source/Routing/ConcurrencyLimit.cpp
@@ -4,12 +4,6 @@
 
 namespace burlreach {
 
-namespace {
-
-constexpr Milliseconds ShortestShrinkGap{ 10 };
-
-}
-
 ConcurrencyLimit::ConcurrencyLimit(Options givenOptions)
     : options(givenOptions)
     , limit(givenOptions.initial)
@@ -22,22 +16,22 @@
     this->limit = std::min(this->limit, this->options.highest);
 }
 
-void ConcurrencyLimit::succeeded(std::size_t inFlight, Milliseconds response, Milliseconds unloaded, Milliseconds now)
+void ConcurrencyLimit::succeeded(std::size_t inFlight, double crowd, Milliseconds now)
 {
-    if (response > unloaded * this->options.slowFactor)
-        return this->overloaded(response, now);
+    if (crowd > this->options.crowded)
+        return this->overloaded(now);
     const bool isUsed = static_cast<double>(inFlight) + 1 >= this->limit;
     if (isUsed)
         this->limit = std::min(this->options.highest, this->limit + 1 / this->limit);
 }
 
-void ConcurrencyLimit::overloaded(Milliseconds response, Milliseconds now)
+void ConcurrencyLimit::overloaded(Milliseconds now)
 {
     if (now < this->nextShrink)
         return;
     this->limit = std::max(this->options.lowest, this->limit * this->options.shrinkFactor);
     // Answers to requests sent before the shrink say nothing about it.
-    this->nextShrink = now + std::max(response, ShortestShrinkGap);
+    this->nextShrink = now + this->options.shrinkGap;
 }
 
 void ConcurrencyLimit::restart()
--- a/Source/Routing/ConcurrencyLimit.h
+++ b/Source/Routing/ConcurrencyLimit.h
@@ -9,24 +9,26 @@
 /**
  * How many requests this instance keeps in flight at one backend server. The
  * limit grows by one for each full round of good answers at the limit, and
- * shrinks by a share when the backend server refuses, times out or answers
- * much slower than it can.
+ * shrinks by a share when the backend server refuses, times out or reports a
+ * crowd.
  */
 class ConcurrencyLimit {
 public:
     struct Options {
-        double initial = 4;
-        double lowest = 1;
+        double initial = 16;
+        double lowest = 3;
         double highest = 200;
-        double shrinkFactor = 0.8;
-        double slowFactor = 6; // answers slower than this many unloaded times shrink the limit
+        double shrinkFactor = 0.9;
+        double crowded = 1000; // requests for each slot
+        Milliseconds shrinkGap {10}; // between two shrinkings
     };
 
     explicit ConcurrencyLimit(Options options);
 
     void setHighest(double highest);
-    void succeeded(std::size_t inFlight, Milliseconds response, Milliseconds unloaded, Milliseconds now);
-    void overloaded(Milliseconds response, Milliseconds now);
+    /** The crowd is what the backend server reports: requests for each slot; 0: nothing. */
+    void succeeded(std::size_t inFlight, double crowd, Milliseconds now);
+    void overloaded(Milliseconds now);
     /** Back to one request, as for a backend server that was away. */
     void restart();
 
--- a/Source/Routing/LoadAwarePolicy.cpp
+++ b/Source/Routing/LoadAwarePolicy.cpp
@@ -8,35 +8,39 @@
 namespace {
 
 /** Reports older than this say little about the load of others. */
-constexpr Milliseconds ReportDecay{ 60 };
-/** One way between data centres, there and back. */
-constexpr Milliseconds OtherDataCentre{ 3 };
-constexpr Milliseconds UnknownResponse{ 1 };
+constexpr Milliseconds ReportDecay {100};
+constexpr Milliseconds UnknownServiceTime {1};
 /** In larger pools only this many random candidates are compared. */
-constexpr std::size_t ComparedCandidates = 8;
+constexpr std::size_t ComparedCandidates = 12;
 /** A random share of the score, so that instances do not all choose alike. */
 constexpr double Jitter = 0.1;
+/** Service times differ by the mix of requests; only more than this is a slow server. */
+constexpr double UsualDeviation = 2.5;
+/** A request in flight for more than this many mean service times tells of a slow-down. */
+constexpr double UsualAge = 8;
+/** Another data centre counts as this share of a request in flight. */
+constexpr double DistanceShare = 0.3;
 
 /** What is known of the pool as a whole. */
 struct Pool {
     double meanOthers = 0;
-    Milliseconds meanResponse = UnknownResponse;
+    Milliseconds meanServiceTime = UnknownServiceTime;
 };
 
 Pool describe(std::span<BackendServerState* const> candidates)
 {
     Pool pool;
-    double responses = 0;
+    double serviceTimes = 0;
     std::size_t known = 0;
     for (const BackendServerState* candidate : candidates) {
         pool.meanOthers += candidate->reportedOthers() / static_cast<double>(candidates.size());
-        if (!candidate->response().known())
+        if (!candidate->serviceTime().known())
             continue;
-        responses += candidate->response().unloaded().count;
+        serviceTimes += candidate->serviceTime().value().count;
         ++known;
     }
     if (known)
-        pool.meanResponse = { responses / static_cast<double>(known) };
+        pool.meanServiceTime = {serviceTimes / static_cast<double>(known)};
     return pool;
 }
 
@@ -45,23 +49,24 @@
     const Milliseconds age = now - server.report().at;
     const double trust = std::exp(-std::max(age.count, 0.0) / ReportDecay.count);
     const double others = pool.meanOthers + (server.reportedOthers() - pool.meanOthers) * trust;
-    return static_cast<double>(server.inFlight()) + std::max(0.0, others);
+    return static_cast<double>(server.inFlight()) + others;
 }
 
-/** Own requests that hang tell of a slow-down before any answer does. */
-Milliseconds serviceTime(const BackendServerState& server, const Pool& pool, Milliseconds now)
+/** How many times slower than the pool the server is; 1 within what is usual. */
+double slowness(const BackendServerState& server, const Pool& pool, Milliseconds now)
 {
-    const Milliseconds known = server.response().known() ? server.response().value() : pool.meanResponse;
-    return std::max(known, server.oldestAge(now));
+    const double known = server.serviceTime().value(pool.meanServiceTime, now) / pool.meanServiceTime / UsualDeviation;
+    // Own requests that hang tell of a slow-down before any answer does.
+    const double hanging = server.oldestAge(now) / pool.meanServiceTime / UsualAge;
+    return std::max({1.0, known, hanging});
 }
 
 double score(const BackendServerState& server, const Pool& pool, const RoutingContext& context)
 {
     const double slots = static_cast<double>(server.slots());
-    const double crowd = std::max(1.0, (expectedInFlight(server, pool, context.now) + 1) / slots);
-    const Milliseconds distance = server.dataCentre() == context.dataCentre ? Milliseconds{} : OtherDataCentre;
-    const Milliseconds distanceKept = server.response().known() ? Milliseconds{} : distance;
-    return serviceTime(server, pool, context.now).count * crowd * crowd + distanceKept.count;
+    const double distance = server.dataCentre() == context.dataCentre ? 0 : DistanceShare;
+    const double crowd = (expectedInFlight(server, pool, context.now) + 1 + distance) / slots;
+    return crowd * slowness(server, pool, context.now);
 }
 
 }
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -4,8 +4,9 @@
 
 namespace burlreach {
 
-ServicePool::ServicePool(std::unique_ptr<RoutingPolicy> givenPolicy)
-    : policy(std::move(givenPolicy))
+ServicePool::ServicePool(std::unique_ptr<RoutingPolicy> givenPolicy, Options givenOptions)
+    : options(givenOptions)
+    , policy(std::move(givenPolicy))
     , outliers({})
 {
 }
@@ -20,6 +21,7 @@
         if (!state)
             state = std::make_shared<BackendServerState>(server);
         state->configure(server, highestInFlight);
+        state->setAdaptive(this->options.adaptive);
         next.push_back(std::move(state));
     }
     this->list = std::move(next);
@@ -64,6 +66,8 @@
 
 bool ServicePool::checkOutlier(BackendServerState& server, Milliseconds now)
 {
+    if (!this->options.adaptive)
+        return false;
     std::vector<BackendServerState*> pool;
     for (const auto& item : this->list)
         pool.push_back(item.get());
@@ -92,9 +96,9 @@
     Milliseconds sum;
     std::size_t known = 0;
     for (const auto& server : this->list) {
-        if (!server->response().known())
+        if (!server->serviceTime().known())
             continue;
-        sum = sum + server->response().value();
+        sum = sum + server->serviceTime().value();
         ++known;
     }
     if (!known)
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -28,7 +28,11 @@
 /** The backend servers of one service and the choice among them. */
 class ServicePool {
 public:
-    explicit ServicePool(std::unique_ptr<RoutingPolicy> policy);
+    struct Options {
+        bool adaptive = true; // limits for each backend server, ejections
+    };
+
+    ServicePool(std::unique_ptr<RoutingPolicy> policy, Options options);
 
     /** Keeps what is known of backend servers that stay. */
     void configure(const v1::Service& service, std::size_t connectionsPerBackendServer, std::size_t instances);
@@ -53,6 +57,7 @@
     std::vector<BackendServerState*> filter(
         std::span<const std::shared_ptr<BackendServerState>> tried, Milliseconds now, bool withEjected) const;
 
+    Options options;
     std::unique_ptr<RoutingPolicy> policy;
     OutlierDetector outliers;
     std::vector<std::shared_ptr<BackendServerState>> list;
