--- a/Tests/RunAllTests.cc
+++ b/Tests/RunAllTests.cc
@@ -2,17 +2,39 @@
 #include "peers.pb.h"
 
 #include <google/protobuf/stubs/common.h>
+#include <google/protobuf/util/json_util.h>
+#include <string>
 
 // Redefines operator new: after all other headers.
 #include <CppUTest/CommandLineTestRunner.h>
 
+namespace {
+
+/** The libraries build descriptors and type resolvers on their first use. */
+template <typename Message>
+void useOnce()
+{
+    Message message;
+    std::string text;
+    (void)google::protobuf::util::MessageToJsonString(message, &text);
+    (void)google::protobuf::util::JsonStringToMessage(text, &message);
+    (void)message.DebugString();
+}
+
 /** Statics of the libraries are made before the leak check begins. */
-static void prepareLibraries()
+void prepareLibraries()
 {
     GOOGLE_PROTOBUF_VERIFY_VERSION;
-    burlreach::peers::PeerMessage().GetTypeName();
-    burlreach::v1::ShowCountersAnswer().DebugString();
-    burlreach::peers::PeerMessage().DebugString();
+    useOnce<burlreach::peers::PeerMessage>();
+    useOnce<burlreach::peers::Ownership>();
+    useOnce<burlreach::v1::ChangeRequest>();
+    useOnce<burlreach::v1::Configuration>();
+    useOnce<burlreach::v1::ShowCountersAnswer>();
+    burlreach::v1::Configuration configuration;
+    const char* text = R"({"revision": 1, "services": [{"name": "a", "rules": [{"repeat": "RUN_ONCE"}]}]})";
+    (void)google::protobuf::util::JsonStringToMessage(text, &configuration);
+}
+
 }
 
 int main(int argc, char** argv)
