Prove what must hold with real processes and bad input

Cause: the matrix drives the decisions only. Nothing showed the daemon under kill, freeze, cut, a store that loses answers, or bad bytes.

Found by Tests/Processes.sh on its first run: a backend server that refuses at once ("not run") drew three of four requests, 453 of 600 were refused, since a refusal was no failure and its server always had the fewest in flight. Now it rests 5 ms after a refusal, doubled up to 640 ms. QuickRefusalsDrawNoRequests shows the same in virtual time.

Found by seeded mutation of peers' messages: a crash when an ownership drops a backup without a new version of the slot, and a slot number out of range that was read; both refused now. Ownerships are checked whole before adoption.

--- a/Source/Node/FleetControl.cpp
+++ b/Source/Node/FleetControl.cpp
@@ -40,9 +40,13 @@
     return member;
 }
 
+/** Only a whole ownership, whose slots name members that are there. */
 bool isUsable(const peers::Ownership& ownership)
 {
-    return ownership.epoch() && static_cast<std::size_t>(ownership.slots_size()) == SlotCount;
+    const auto members = static_cast<std::uint32_t>(ownership.members_size());
+    const auto namesMembers = [members](const peers::Slot& slot) { return slot.primary() <= members && slot.backup() <= members; };
+    const bool isWhole = ownership.epoch() && static_cast<std::size_t>(ownership.slots_size()) == SlotCount;
+    return isWhole && std::all_of(ownership.slots().begin(), ownership.slots().end(), namesMembers);
 }
 
 }
--- a/Source/Ownership/ClaimLedger.cpp
+++ b/Source/Ownership/ClaimLedger.cpp
@@ -69,7 +69,10 @@
 void ClaimLedger::sendRecords(std::size_t slot, Milliseconds now, Outbox& outbox)
 {
     OwnedSlot& owned = this->slots[slot];
-    owned.nextSync = now + this->options.syncRepeat;
+    const peers::Member* backup = backupOf(*this->ownership, slot);
+    owned.nextSync = backup ? now + this->options.syncRepeat : Never;
+    if (!backup)
+        return;
     peers::PeerMessage message;
     peers::SlotRecords* records = message.mutable_slot_records();
     records->mutable_slot()->set_slot(static_cast<std::uint32_t>(slot));
@@ -80,7 +83,7 @@
         records->set_lost_age_milliseconds(static_cast<std::uint32_t>(std::max(0.0, (now - lostAt).count)));
     }
     owned.records.write(*records, now);
-    outbox.sendToPeer(addressOf(*backupOf(*this->ownership, slot)), std::move(message));
+    outbox.sendToPeer(addressOf(*backup), std::move(message));
 }
 
 bool ClaimLedger::recordsReceived(
--- a/Source/Ownership/OwnershipProposer.cpp
+++ b/Source/Ownership/OwnershipProposer.cpp
@@ -1,5 +1,7 @@
 #include "Ownership/OwnershipProposer.h"
 
+#include "Ownership/SlotMap.h"
+
 #include <algorithm>
 
 namespace burlreach {
@@ -69,6 +71,8 @@
 
 void OwnershipProposer::reportCompleted(const peers::SlotVersion& version)
 {
+    if (version.slot() >= SlotCount)
+        return;
     const auto isSame = [&](const peers::SlotVersion& known) { return known.slot() == version.slot(); };
     std::erase_if(this->completed, isSame);
     this->completed.push_back(version);
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -6,6 +6,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 
 namespace {
@@ -45,6 +46,8 @@
         .lowest = severityOf(settings.logLevel),
         .instance = settings.instanceName });
     std::signal(SIGPIPE, SIG_IGN);
+    // Invalid messages are counted; nobody may fill the log with them.
+    google::protobuf::SetLogHandler(nullptr);
     Instance instance(settings);
     return instance.run() ? ExitCode::Refused : ExitCode::Success;
 }
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -3,12 +3,16 @@
 #include "Base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace burlreach {
 
 namespace {
 
 constexpr std::size_t DefaultSlots = 3;
+/** How long a backend server rests after a refusal; doubled with each in a row. */
+constexpr Milliseconds FirstRest{ 5 };
+constexpr unsigned MostDoublings = 7;
 /** A request sent longer ago has reached the server. */
 constexpr Milliseconds OnTheWay{ 8 };
 /** How long a contradicted report counts for nothing. */
@@ -73,13 +77,13 @@
     switch (end.result) {
     case AttemptResult::Answered:
         this->failures = 0;
+        this->refusals = 0;
         this->ejectionCount = 0;
         this->serviceTimes.add(response, flight.crowd, now);
         this->limit.succeeded(this->inFlight());
         break;
     case AttemptResult::RefusedNotRun:
-        // A full backend server is healthy: fewer requests, no failure.
-        this->limit.overloaded(now);
+        this->refused(now);
         break;
     case AttemptResult::TimedOut:
         this->serviceTimes.add(response, flight.crowd, now);
@@ -102,13 +106,22 @@
     return std::max(1.0, expected / static_cast<double>(this->slotCount));
 }
 
-bool BackendServerState::hasRoom() const
+bool BackendServerState::hasRoom(Milliseconds now) const
 {
     if (this->adaptive)
-        return this->limit.hasRoom(this->inFlight());
+        return now >= this->fullUntil && this->limit.hasRoom(this->inFlight());
     return static_cast<double>(this->inFlight()) + 1 <= this->mostInFlight;
 }
 
+void BackendServerState::refused(Milliseconds now)
+{
+    // A full backend server is healthy: fewer requests, and none for a moment,
+    // or its quick refusals would draw all requests to it.
+    this->limit.overloaded(now);
+    const double doubling = std::exp2(static_cast<double>(std::min(this->refusals++, MostDoublings)));
+    this->fullUntil = now + FirstRest * doubling;
+}
+
 void BackendServerState::failed()
 {
     ++this->failures;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -38,7 +38,7 @@
     std::size_t slots() const { return this->slotCount; }
 
     std::size_t inFlight() const { return this->flights.size(); }
-    bool hasRoom() const;
+    bool hasRoom(Milliseconds now) const;
     /** Without limits of its own only the share of connections counts. */
     void setAdaptive(bool adapts) { this->adaptive = adapts; }
     double concurrency() const { return this->limit.value(); }
@@ -72,6 +72,7 @@
 
     void learn(const AttemptEnd& end, const Flight& flight, Milliseconds now);
     void failed();
+    void refused(Milliseconds now);
 
     std::string serverName;
     std::uint32_t nameHash;
@@ -89,6 +90,8 @@
     LoadReport lastReport;
     double others = 0;
     Milliseconds distrustedUntil = LongAgo;
+    unsigned refusals = 0; // in a row
+    Milliseconds fullUntil = LongAgo;
     unsigned failures = 0;
     unsigned ejectionCount = 0;
     Milliseconds ejectedUntil = LongAgo;
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -57,7 +57,7 @@
     auto candidates = this->takers(tried, context.now);
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::NobodyTakes };
-    std::erase_if(candidates, [](const BackendServerState* server) { return !server->hasRoom(); });
+    std::erase_if(candidates, [&](const BackendServerState* server) { return !server->hasRoom(context.now); });
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Full };
     const BackendServerState* chosen = this->policy->choose(candidates, context, random);
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -149,3 +149,21 @@
         DOUBLES_EQUAL_TEXT(item.deadline, found.deadline.count, 0, item.path);
     }
 }
+
+TEST(ServicePool, QuickRefusalsDrawNoRequests)
+{
+    this->pool.configure(service(2), 100, 1);
+    const auto shedding = this->pool.find("s1");
+    int refused = 0;
+    for (int count = 0; count < 1000; ++count) {
+        this->context.now = this->context.now + Milliseconds{ 1 };
+        const auto chosen = this->pool.choose({}, this->context, this->random).server;
+        chosen->sent(1, this->context.now);
+        const AttemptResult result = chosen == shedding ? AttemptResult::RefusedNotRun : AttemptResult::Answered;
+        refused += chosen == shedding ? 1 : 0;
+        chosen->ended(1, { .result = result, .reportedInFlight = std::nullopt, .leaving = false },
+            this->context.now + Milliseconds{ 0.5 });
+    }
+    CHECK(refused > 0);
+    CHECK(refused < 20);
+}
--- a/Tests/RunAllTests.cc
+++ b/Tests/RunAllTests.cc
@@ -2,6 +2,7 @@
 #include "peers.pb.h"
 
 #include <google/protobuf/stubs/common.h>
+#include <google/protobuf/type.pb.h>
 #include <google/protobuf/util/json_util.h>
 #include <string>
 
@@ -25,6 +26,9 @@
 void prepareLibraries()
 {
     GOOGLE_PROTOBUF_VERIFY_VERSION;
+    google::protobuf::SetLogHandler(nullptr);
+    (void)google::protobuf::Type::descriptor();
+    (void)google::protobuf::Type().DebugString();
     useOnce<burlreach::peers::PeerMessage>();
     useOnce<burlreach::peers::Ownership>();
     useOnce<burlreach::v1::ChangeRequest>();
@@ -33,6 +37,12 @@
     burlreach::v1::Configuration configuration;
     const char* text = R"({"revision": 1, "services": [{"name": "a", "rules": [{"repeat": "RUN_ONCE"}]}]})";
     (void)google::protobuf::util::JsonStringToMessage(text, &configuration);
+    burlreach::v1::ChangeRequest change;
+    const char* call = R"({"change_id": "a", "set_limits": {"service": "b", "limits": {"retry_percent": 10}}, "x": 1})";
+    (void)google::protobuf::util::JsonStringToMessage(call, &change);
+    // Every kind of error is met once as well.
+    for (std::string cut = call; !cut.empty(); cut.pop_back())
+        (void)google::protobuf::util::JsonStringToMessage(cut, &change);
 }
 
 }
