--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -27,6 +27,7 @@
     std::uint32_t attempt = 0; // as the caller gave it; 0: not given
     std::optional<Milliseconds> timeLeft; // until the caller's deadline, when it gave one
     std::optional<v1::Priority> priority; // when the caller gave one
+    std::size_t bodyBytes = 0;
     bool isRetry = false; // an earlier balancer on the way is retrying already
     bool isReadable = true; // false: a header of ours has no valid value
 };
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -64,6 +64,8 @@
     request.service = this->parts.services->byHost(event.host);
     if (!request.service)
         return this->refuseAs(request, unclaimed, RefusalReason::NoService, now, actions);
+    if (event.bodyBytes > request.service->limits.maximumBodyBytes)
+        return this->refuseAs(request, unclaimed, RefusalReason::BodyTooLarge, now, actions);
     request.kind = classify(request.service->service, event.method, event.path, request.service->limits.deadline);
     if (event.priority)
         request.kind.priority = *event.priority;
--- a/Source/Traffic/RequestReader.cpp
+++ b/Source/Traffic/RequestReader.cpp
@@ -90,6 +90,7 @@
     RequestArrived event;
     event.host = request.host.substr(0, request.host.find(':'));
     event.method = request.method;
+    event.bodyBytes = request.body.size();
     event.path = request.target.substr(0, request.target.find('?'));
     event.isRetry = find(request, RetryHeader) != nullptr;
     readRequestId(request, event);
