--- a/Benchmarks/Bench.cc
+++ b/Benchmarks/Bench.cc
@@ -3,6 +3,7 @@
 
 #include "Benchmarks/PolicyRun.h"
 #include "Benchmarks/Slopes.h"
+#include "Benchmarks/SpreadSlopes.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -197,8 +198,10 @@
     json result;
     result["policy"] = policyFigures();
     result["goals"] = goals(result["policy"]);
-    if (withSlopes)
+    if (withSlopes) {
         result["slopes"] = measureSlopes();
+        result["spread"] = measureSpread();
+    }
     std::cout << result.dump(1) << '\n';
     return bounds.empty() || withinBounds(result, bounds) ? 0 : 1;
 }
--- a/Source/Traffic/RequestSession.cpp
+++ b/Source/Traffic/RequestSession.cpp
@@ -99,6 +99,19 @@
     return exchange.end;
 }
 
+// An attempt that lost against its hedge may still write these.
+Milliseconds RequestSession::waited() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->waitedTime;
+}
+
+Milliseconds RequestSession::atBackendServer() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->backendTime;
+}
+
 CallerAnswer RequestSession::takeAnswer(AttemptNumber number)
 {
     const std::lock_guard lock(this->mutex);
--- a/Source/Traffic/RequestSession.h
+++ b/Source/Traffic/RequestSession.h
@@ -46,8 +46,8 @@
 
     RequestNumber number() const { return this->requestNumber; }
     socket_t callerSocket() const { return this->request.socket; }
-    Milliseconds waited() const { return this->waitedTime; }
-    Milliseconds atBackendServer() const { return this->backendTime; }
+    Milliseconds waited() const;
+    Milliseconds atBackendServer() const;
 
 private:
     struct Attempt {
@@ -62,7 +62,7 @@
     RequestNumber requestNumber;
     CallerRequest request;
     const Clock* clock;
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::condition_variable changed;
     bool isBusy = false; // the waiting thread runs an attempt
     std::deque<SendAttempt> offered;
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -157,7 +157,7 @@
     void poll(std::size_t node);
     void readDocument(std::size_t node, StoreDocument document);
     void deliver(std::size_t to, const peers::PeerMessage& message, Milliseconds delay);
-    Fate reach(Step step, std::size_t node) { return this->onStep ? this->onStep(step, node) : Fate::Goes; }
+    Fate reach(Step step, std::size_t node) const { return this->onStep ? this->onStep(step, node) : Fate::Goes; }
     Milliseconds clockOf(const Member& member) const;
     Milliseconds distance(const std::string& from, const std::string& to) const;
     std::optional<std::size_t> nodeAt(const NetworkAddress& address) const;
