--- a/Benchmarks/Bench.cc
+++ b/Benchmarks/Bench.cc
@@ -4,14 +4,13 @@
 #include "Benchmarks/PolicyRun.h"
 #include "Benchmarks/Slopes.h"
 #include "Benchmarks/SpreadSlopes.h"
+#include "Tests/Virtual/ParallelRuns.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <atomic>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 namespace {
 
@@ -44,22 +43,6 @@
     return std::round(value * thousand) / thousand;
 }
 
-void runAll(std::vector<Job>& jobs, const std::vector<Contender>& all)
-{
-    std::atomic<std::size_t> next{ 0 };
-    const auto work = [&] {
-        for (std::size_t index = next++; index < jobs.size(); index = next++)
-            jobs[index].result = PolicyRun(jobs[index].disturbance, all[jobs[index].contender], jobs[index].seed).run();
-    };
-    std::vector<std::thread> threads;
-    const std::size_t count = std::max(1U, std::thread::hardware_concurrency());
-    threads.reserve(count);
-    for (std::size_t index = 0; index < count; ++index)
-        threads.emplace_back(work);
-    for (std::thread& thread : threads)
-        thread.join();
-}
-
 json describeKind(const std::vector<const RunResult*>& runs, std::size_t kind)
 {
     std::vector<double> pooled;
@@ -123,7 +106,10 @@
                     .result = {} });
         }
     }
-    runAll(jobs, all);
+    runInParallel(jobs.size(), [&](std::size_t index) {
+        Job& job = jobs[index];
+        job.result = PolicyRun(job.disturbance, all[job.contender], job.seed).run();
+    });
     json figures;
     for (std::size_t first = 0; first < jobs.size(); first += Seeds) {
         std::vector<const RunResult*> runs;
--- a/Source/Node/FleetControl.cpp
+++ b/Source/Node/FleetControl.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Hash.h"
 #include "Configuration/ConfigurationCodec.h"
+#include "Exchange/MemberAddress.h"
 #include "Node/ActionOutbox.h"
 
 #include <algorithm>
@@ -24,11 +25,6 @@
 constexpr Milliseconds MemberListPoll{ 300000 };
 constexpr Milliseconds MemberDocumentPoll{ 30000 };
 
-NetworkAddress addressOf(const peers::Member& member)
-{
-    return { .host = member.address(), .port = static_cast<std::uint16_t>(member.port()) };
-}
-
 peers::Member memberOf(const KnownInstance& known)
 {
     peers::Member member;
@@ -44,7 +40,8 @@
 bool isUsable(const peers::Ownership& ownership)
 {
     const auto members = static_cast<std::uint32_t>(ownership.members_size());
-    const auto namesMembers = [members](const peers::Slot& slot) { return slot.primary() <= members && slot.backup() <= members; };
+    const auto namesMembers
+        = [members](const peers::Slot& slot) { return slot.primary() <= members && slot.backup() <= members; };
     const bool isWhole = ownership.epoch() && static_cast<std::size_t>(ownership.slots_size()) == SlotCount;
     return isWhole && std::all_of(ownership.slots().begin(), ownership.slots().end(), namesMembers);
 }
--- a/Source/Ownership/ClaimClient.cpp
+++ b/Source/Ownership/ClaimClient.cpp
@@ -1,5 +1,6 @@
 #include "Ownership/ClaimClient.h"
 
+#include "Exchange/MemberAddress.h"
 #include "Ownership/SlotMap.h"
 
 #include <algorithm>
@@ -76,8 +77,7 @@
     claim->set_number(request.number);
     claim->set_close(close);
     claim->set_issued(request.issued);
-    outbox.sendToPeer(
-        { .host = primary->address(), .port = static_cast<std::uint16_t>(primary->port()) }, std::move(message));
+    outbox.sendToPeer(addressOf(*primary), std::move(message));
 }
 
 }
--- a/Source/Ownership/ClaimLedger.cpp
+++ b/Source/Ownership/ClaimLedger.cpp
@@ -1,5 +1,6 @@
 #include "Ownership/ClaimLedger.h"
 
+#include "Exchange/MemberAddress.h"
 #include <algorithm>
 #include <utility>
 
@@ -7,11 +8,6 @@
 
 namespace {
 
-NetworkAddress addressOf(const peers::Member& member)
-{
-    return { .host = member.address(), .port = static_cast<std::uint16_t>(member.port()) };
-}
-
 ClaimEntry entryOf(const peers::Claim& claim, Milliseconds now)
 {
     ClaimEntry entry;
--- a/Source/Ownership/OwnershipProposer.cpp
+++ b/Source/Ownership/OwnershipProposer.cpp
@@ -1,5 +1,6 @@
 #include "Ownership/OwnershipProposer.h"
 
+#include "Exchange/MemberAddress.h"
 #include "Ownership/SlotMap.h"
 
 #include <algorithm>
@@ -12,11 +13,6 @@
 constexpr Milliseconds PlanGap{ 200 };
 constexpr double HeartbeatsToAnswer = 2;
 
-NetworkAddress addressOf(const peers::Member& member)
-{
-    return { .host = member.address(), .port = static_cast<std::uint16_t>(member.port()) };
-}
-
 peers::PeerMessage question()
 {
     peers::PeerMessage message;
--- a/Source/Ownership/ProbePermits.cpp
+++ b/Source/Ownership/ProbePermits.cpp
@@ -1,5 +1,7 @@
 #include "Ownership/ProbePermits.h"
 
+#include "Exchange/MemberAddress.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -50,8 +52,7 @@
     if (!asking)
         return;
     permit->set_number(request.number());
-    outbox.sendToPeer(
-        { .host = asking->address(), .port = static_cast<std::uint16_t>(asking->port()) }, std::move(message));
+    outbox.sendToPeer(addressOf(*asking), std::move(message));
 }
 
 void ProbePermits::permitted(const peers::ProbePermit& permit, const peers::Incarnation& from)
@@ -97,8 +98,7 @@
         messages[index].mutable_probe_permit_request()->set_number(++this->lastNumber);
         this->questions.push_back({ .number = this->lastNumber, .sentAt = now });
         const peers::Member& backup = this->ownership->members(static_cast<int>(index));
-        outbox.sendToPeer({ .host = backup.address(), .port = static_cast<std::uint16_t>(backup.port()) },
-            std::move(messages[index]));
+        outbox.sendToPeer(addressOf(backup), std::move(messages[index]));
     }
 }
 
--- a/Source/Platform/PlatformConnection.cpp
+++ b/Source/Platform/PlatformConnection.cpp
@@ -1,6 +1,6 @@
 #include "Platform/PlatformConnection.h"
 
-#include <chrono>
+#include "Base/ChronoDuration.h"
 #include <nlohmann/json.hpp>
 
 namespace burlreach {
@@ -13,12 +13,6 @@
 constexpr const char* IndexHeader = "X-Consul-Index";
 constexpr Milliseconds WatchMargin{ 2000 };
 
-std::chrono::microseconds toDuration(Milliseconds time)
-{
-    constexpr double microsecondsPerMillisecond = 1000;
-    return std::chrono::microseconds(static_cast<std::int64_t>(time.count * microsecondsPerMillisecond));
-}
-
 std::uint64_t indexOf(const httplib::Response& response)
 {
     return response.get_header_value<std::uint64_t>(IndexHeader);
--- a/Source/Program/ControlCommand.cpp
+++ b/Source/Program/ControlCommand.cpp
@@ -251,14 +251,21 @@
     this->addServiceOption(*showLoad);
 }
 
+std::optional<NetworkAddress> ControlCommand::parsedAddress()
+{
+    auto parsed = parseNetworkAddress(this->address);
+    if (parsed)
+        return parsed;
+    std::cerr << "--address: is not an address; write an IP number and a port, such as 127.0.0.1:8081\n";
+    this->result = ExitCode::Usage;
+    return std::nullopt;
+}
+
 void ControlCommand::change(const v1::ChangeRequest& request)
 {
-    const auto parsed = parseNetworkAddress(this->address);
-    if (!parsed) {
-        std::cerr << "--address: is not an address; write an IP number and a port, such as 127.0.0.1:8081\n";
-        this->result = ExitCode::Usage;
+    const auto parsed = this->parsedAddress();
+    if (!parsed)
         return;
-    }
     ControlClient client(*parsed);
     v1::ChangeAnswer answer;
     if (const auto problem = client.call("Change", request, answer)) {
@@ -280,12 +287,9 @@
 template <typename Answer>
 void ControlCommand::show(std::string_view method, const google::protobuf::Message& request)
 {
-    const auto parsed = parseNetworkAddress(this->address);
-    if (!parsed) {
-        std::cerr << "--address: is not an address; write an IP number and a port, such as 127.0.0.1:8081\n";
-        this->result = ExitCode::Usage;
+    const auto parsed = this->parsedAddress();
+    if (!parsed)
         return;
-    }
     ControlClient client(*parsed);
     Answer answer;
     if (const auto problem = client.call(method, request, answer)) {
--- a/Source/Program/ControlCommand.h
+++ b/Source/Program/ControlCommand.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Base/NetworkAddress.h"
 #include "Program/ExitCode.h"
 #include "operators.pb.h"
 
 #include <CLI/CLI.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,8 @@
     void addShowVerbs(CLI::App& control);
     void addServiceOption(CLI::App& verb);
 
+    /** Nothing, and the exit code is set, when it is no address. */
+    std::optional<NetworkAddress> parsedAddress();
     void change(const v1::ChangeRequest& request);
     template <typename Answer>
     void show(std::string_view method, const google::protobuf::Message& request);
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -75,6 +75,8 @@
 
     ControlCommand control;
     control.addTo(program);
+    for (CLI::App* command : program.get_subcommands({}))
+        command->set_version_flag("--version", BURLREACH_VERSION);
     try {
         program.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -15,6 +15,17 @@
     counter->set_value(value);
 }
 
+/** Upper ends of buckets, so that they are never told too low. */
+void addQuantiles(v1::ShowCountersAnswer& answer, std::string_view name, const LatencyHistogram& histogram)
+{
+    constexpr double median = 0.5;
+    constexpr double slowest = 0.99;
+    if (!histogram.count())
+        return;
+    add(answer, name, "p50", histogram.quantile(median).count);
+    add(answer, name, "p99", histogram.quantile(slowest).count);
+}
+
 template <typename Kind>
 void addAll(v1::ShowCountersAnswer& answer, const DecisionCounters& decisions, std::string_view name)
 {
@@ -44,6 +55,9 @@
     add(answer, "peer_messages_invalid", "", static_cast<double>(traffic.peerMessagesInvalid));
     add(answer, "store_calls", "", static_cast<double>(traffic.storeCalls));
     add(answer, "store_calls_failed", "", static_cast<double>(traffic.storeCallsFailed));
+    addQuantiles(answer, "added_milliseconds", traffic.added);
+    addQuantiles(answer, "waited_milliseconds", traffic.waited);
+    addQuantiles(answer, "at_backend_server_milliseconds", traffic.atBackendServer);
     return answer;
 }
 
--- a/Source/Traffic/BackendConnection.cpp
+++ b/Source/Traffic/BackendConnection.cpp
@@ -1,10 +1,10 @@
 #include "Traffic/BackendConnection.h"
 
+#include "Base/ChronoDuration.h"
 #include "Traffic/Headers.h"
+#include "Traffic/NumberText.h"
 
 #include <algorithm>
-#include <charconv>
-#include <chrono>
 #include <poll.h>
 #include <strings.h>
 
@@ -18,12 +18,6 @@
 constexpr int StatusNotModified = 304;
 constexpr int LastInformationalStatus = 199;
 
-std::chrono::microseconds toDuration(Milliseconds time)
-{
-    constexpr double microsecondsPerMillisecond = 1000;
-    return std::chrono::microseconds(static_cast<std::int64_t>(std::max(1.0, time.count * microsecondsPerMillisecond)));
-}
-
 bool isNamed(const std::string& name, const char* wanted)
 {
     return !strcasecmp(name.c_str(), wanted);
@@ -36,15 +30,6 @@
         || isNamed(name, RetryHeader) || isNamed(name, AttemptHeader);
 }
 
-std::optional<std::uint32_t> readNumber(const std::string& text)
-{
-    std::uint32_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 /** Only with a length or chunks can the end of a body be told from a cut. */
 bool endIsCertain(const httplib::Response& response, const std::string& method)
 {
--- a/Source/Traffic/RequestReader.cpp
+++ b/Source/Traffic/RequestReader.cpp
@@ -1,9 +1,9 @@
 #include "Traffic/RequestReader.h"
 
 #include "Traffic/Headers.h"
+#include "Traffic/NumberText.h"
 
 #include <algorithm>
-#include <charconv>
 #include <strings.h>
 
 namespace burlreach {
@@ -22,15 +22,6 @@
     return nullptr;
 }
 
-std::optional<std::uint32_t> readNumber(const std::string& text)
-{
-    std::uint32_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 bool isVisible(char character)
 {
     return character > ' ' && character <= '~';
--- a/Tests/FaultMatrix/FaultMatrix.cc
+++ b/Tests/FaultMatrix/FaultMatrix.cc
@@ -2,12 +2,11 @@
 // --cell NAME runs the cells whose names begin so.
 
 #include "Tests/FaultMatrix/Cell.h"
+#include "Tests/Virtual/ParallelRuns.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <atomic>
 #include <iostream>
-#include <thread>
 
 namespace {
 
@@ -42,18 +41,7 @@
 std::vector<CellResult> runAll(const std::vector<CellPlan>& plans)
 {
     std::vector<CellResult> results(plans.size());
-    std::atomic<std::size_t> next{ 0 };
-    const auto work = [&] {
-        for (std::size_t index = next++; index < plans.size(); index = next++)
-            results[index] = Cell(plans[index]).run();
-    };
-    std::vector<std::thread> threads;
-    const std::size_t count = std::max(1U, std::thread::hardware_concurrency());
-    threads.reserve(count);
-    for (std::size_t index = 0; index < count; ++index)
-        threads.emplace_back(work);
-    for (std::thread& thread : threads)
-        thread.join();
+    runInParallel(plans.size(), [&](std::size_t index) { results[index] = Cell(plans[index]).run(); });
     return results;
 }
 
--- a/Tests/Processes.sh
+++ b/Tests/Processes.sh
@@ -148,6 +148,8 @@
 loader=$!
 sleep 1
 kill -TERM "${pid_entry_3:?}"
+sleep 0.2
+kill -TERM "${pid_entry_3:?}" # a second one changes nothing
 until_true 15 bash -c "! kill -0 ${pid_entry_3:?} 2> /dev/null"
 wait "$loader"
 check "planned stop under load cuts and refuses nothing" only_answered stop
