--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -58,6 +58,8 @@
 Instance::Instance(const Settings& givenSettings)
     : settings(givenSettings)
     , log("instance")
+    , configurationLog("configuration")
+    , membershipLog("membership")
     , node(nodeOptions(givenSettings))
     , signals(this->context)
     , timer(this->context)
@@ -238,14 +240,34 @@
     this->peerClient.tend();
     this->runner.checkCallers();
     this->runner.closeIdleConnections();
+    this->noteChanges();
     this->noteReadiness();
 }
 
+void Instance::noteChanges()
+{
+    std::uint32_t revision = 0;
+    std::uint32_t epoch = 0;
+    int members = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        revision = this->node.configuration() ? this->node.configuration()->revision() : 0;
+        epoch = this->node.ownership().epoch();
+        members = this->node.ownership().members_size();
+    }
+    if (revision != this->notedRevision)
+        this->configurationLog.info("Revision " + std::to_string(revision) + " is in force.");
+    if (epoch != this->notedEpoch)
+        this->membershipLog.info("Epoch " + std::to_string(epoch) + " has " + std::to_string(members) + " members.");
+    this->notedRevision = revision;
+    this->notedEpoch = epoch;
+}
+
 void Instance::noteReadiness()
 {
     const bool isReadyNow = this->isReady();
     if (isReadyNow && !this->wasReady)
-        this->log.info("Ready; revision " + std::to_string(this->configurationInForce().revision()) + " is in force.");
+        this->log.info("Ready.");
     this->wasReady = isReadyNow;
 }
 
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -64,10 +64,14 @@
     void tendSlowly();
     void beginStop();
     void advanceStop();
+    /** Logs what has changed since the last look. */
+    void noteChanges();
     void noteReadiness();
 
     Settings settings;
     Logger log;
+    Logger configurationLog;
+    Logger membershipLog;
     SteadyClock clock;
     TrafficMetrics metrics;
     mutable std::mutex mutex;
@@ -85,6 +89,8 @@
     Milliseconds stopBegan;
     Milliseconds nextTending = LongAgo;
     bool wasReady = false;
+    std::uint32_t notedRevision = 0;
+    std::uint32_t notedEpoch = 0;
 };
 
 }
--- a/Tests/RunAllTests.cc
+++ b/Tests/RunAllTests.cc
@@ -4,7 +4,9 @@
 #include <google/protobuf/stubs/common.h>
 #include <google/protobuf/type.pb.h>
 #include <google/protobuf/util/json_util.h>
+#include <httplib.h>
 #include <string>
+#include <thread>
 
 // Redefines operator new: after all other headers.
 #include <CppUTest/CommandLineTestRunner.h>
@@ -45,10 +47,25 @@
         (void)google::protobuf::util::JsonStringToMessage(cut, &change);
 }
 
+/** So does httplib, when it reads its first request and answer. */
+void useHttpOnce()
+{
+    httplib::Server server;
+    server.Get(
+        "/", [](const httplib::Request&, httplib::Response& response) { response.set_content("ok", "text/plain"); });
+    const int port = server.bind_to_any_port("127.0.0.1");
+    std::thread listening([&server] { server.listen_after_bind(); });
+    httplib::Client client("127.0.0.1", port);
+    (void)client.Get("/");
+    server.stop();
+    listening.join();
+}
+
 }
 
 int main(int argc, char** argv)
 {
     prepareLibraries();
+    useHttpOnce();
     return CommandLineTestRunner::RunAllTests(argc, argv);
 }
