Introduce members to each other now and then

Cause: an instance that restarts while the platform's service is down can read no list, and the heartbeats that reach it named no address to answer to. With three instances it was saved by reports to coordinators; with 18 a restarted one that is no coordinator never became ready.

Change: every eighth heartbeat carries the sender.

--- a/Source/Node/FleetControl.cpp
+++ b/Source/Node/FleetControl.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t CoordinatorCount = 3;
+constexpr unsigned HeartbeatsPerIntroduction = 8;
 constexpr Milliseconds PullGap{ 100 };
 constexpr Milliseconds ProposalGap{ 50 };
 /** News are sent at once, but not more often than this. */
@@ -465,8 +466,10 @@
     this->isNews = false;
     this->lastHeartbeat = now;
     this->nextHeartbeat = now + this->options.heartbeatInterval;
+    // A new life at a target's address may know nobody and read no list.
+    const bool introduces = this->heartbeatCount++ % HeartbeatsPerIntroduction == 0;
     for (const peers::Member& target : this->overlay.targets(this->options.self.incarnation().number())) {
-        peers::PeerMessage message = this->newHeartbeat(now, false);
+        peers::PeerMessage message = this->newHeartbeat(now, introduces);
         this->parts.loads->fill(*message.mutable_heartbeat(), now);
         outbox.sendToPeer(addressOf(target), std::move(message));
     }
--- a/Source/Node/FleetControl.h
+++ b/Source/Node/FleetControl.h
@@ -130,6 +130,7 @@
     Scope* scope = nullptr;
     std::uint32_t adoptionCount = 0;
     bool isNews = false;
+    unsigned heartbeatCount = 0;
     bool isStopping = false;
     Milliseconds nextProposal = LongAgo;
     Milliseconds nextHeartbeat = LongAgo;
--- a/Tests/Node/FleetTest.cpp
+++ b/Tests/Node/FleetTest.cpp
@@ -129,3 +129,34 @@
     CHECK(sent > 3000);
     LONGS_EQUAL(sent, answered);
 }
+
+// The list cannot be read either: the new life knows nobody until a peer that
+// knows its address introduces itself. Coordinators get reports from all, so
+// another instance is restarted.
+TEST(Fleet, StartedWhileTheStoreIsDownItTakesWhatAPeerHolds)
+{
+    VirtualFleet fleet(options(EntryInstances, 2));
+    fleet.start();
+    fleet.runUntil({ 15000 });
+    v1::ChangeRequest request;
+    request.set_change_id("before");
+    request.mutable_set_limits()->set_service("bookings");
+    fleet.change(0, request, [](const v1::ChangeAnswer&) {});
+    fleet.runUntil({ 20000 });
+    fleet.store.faults.down = true;
+    std::size_t restarted = 0;
+    while (fleet.node(restarted).platformPlan().watchesDocuments)
+        ++restarted;
+    fleet.kill(restarted);
+    fleet.startNode(restarted);
+    CHECK_FALSE_TEXT(fleet.node(restarted).isReady(), "not ready without a configuration");
+    fleet.runUntil({ 30000 });
+    CHECK(fleet.node(restarted).isReady());
+    LONGS_EQUAL(2, fleet.revisionOf(restarted));
+
+    for (std::size_t node = 0; node < fleet.size(); ++node)
+        fleet.kill(node);
+    fleet.startNode(0);
+    fleet.runUntil({ 60000 });
+    CHECK_FALSE_TEXT(fleet.node(0).isReady(), "not ready when nobody holds one");
+}
