--- a/Tests/Traffic/BackendConnectionTest.cpp
+++ b/Tests/Traffic/BackendConnectionTest.cpp
@@ -28,8 +28,9 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        listen(this->listener, 8);
+        const bool listens = !bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address))
+            && !listen(this->listener, 8);
+        CHECK_TRUE(listens);
         socklen_t length = sizeof(address);
         getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
         this->port = ntohs(address.sin_port);
