--- a/Source/Ownership/ClaimClient.cpp
+++ b/Source/Ownership/ClaimClient.cpp
@@ -27,12 +27,6 @@
     std::erase_if(this->pending, [number](const Pending& item) { return item.request.number == number; });
 }
 
-bool ClaimClient::isPending(std::uint64_t number) const
-{
-    return std::any_of(this->pending.begin(), this->pending.end(),
-        [number](const Pending& item) { return item.request.number == number; });
-}
-
 void ClaimClient::close(const ClaimRequest& request, Outbox& outbox)
 {
     this->end(request.number);
--- a/Source/Ownership/ClaimClient.h
+++ b/Source/Ownership/ClaimClient.h
@@ -37,7 +37,6 @@
     void close(const ClaimRequest& request, Outbox& outbox);
     void adopt(std::shared_ptr<const peers::Ownership> ownership, Milliseconds now, Outbox& outbox);
     void tick(Milliseconds now, Outbox& outbox);
-    bool isPending(std::uint64_t number) const;
 
 private:
     struct Pending {
