--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -1,21 +1,24 @@
 #include "Program/Instance.h"
 
+#include "Base/ChronoDuration.h"
+#include "Program/ConfigurationView.h"
 #include "Program/MetricsText.h"
 
-#include <asio/post.hpp>
+#include <algorithm>
+#include <asio/dispatch.hpp>
 #include <chrono>
 #include <csignal>
 #include <random>
-#include <unistd.h>
+#include <utility>
 
 namespace burlreach {
 
 namespace {
 
-constexpr std::chrono::milliseconds TickInterval{ 5 };
-constexpr Milliseconds TendingInterval{ 200 };
-/** For connections that began just before no more were let in. */
-constexpr Milliseconds Settling{ 300 };
+constexpr Milliseconds TendingInterval{ 500 };
+constexpr Milliseconds StopInterval{ 50 };
+/** Lines that were left out are told every so many tendings. */
+constexpr unsigned TendingsPerTelling = 10;
 
 /** Rises with each start, also when the process ids repeat. */
 std::uint64_t newIncarnation()
@@ -24,7 +27,7 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
-Node::Options nodeOptions(const Settings& settings)
+Node::Options nodeOptions(const Settings& settings, const Dialect& dialect)
 {
     Node::Options options;
     options.name = settings.instanceName;
@@ -32,80 +35,58 @@
     options.peersAddress = settings.peersAddress;
     options.incarnation = newIncarnation();
     options.seed = std::random_device{}();
-    options.heartbeatInterval = settings.heartbeatInterval;
-    options.requestIdsKept = settings.requestIdsKept;
+    options.seeds = settings.seeds;
+    options.retries = { .share = settings.retryShare,
+        .slack = static_cast<double>(settings.retrySlack),
+        .window = settings.retryWindow };
+    options.changeKey = dialect.changeKey;
+    options.translator = dialect.facts;
     return options;
 }
 
-CallerServer::Options callerOptions(const Settings& settings)
-{
-    return { .address = settings.callersAddress,
-        .maximumSessions = settings.maximumSessions,
-        .maximumHeaderBytes = settings.maximumHeaderBytes,
-        .maximumBodyBytes = settings.maximumBodyBytes,
-        .idleSession = settings.idleSession };
-}
-
-PlatformOptions platformOptions(const Settings& settings)
-{
-    return { .address = settings.platformAddress,
-        .keyPrefix = settings.platformKeyPrefix,
-        .serviceName = settings.platformServiceName };
 }
 
-}
-
-Instance::Instance(const Settings& givenSettings)
+Instance::Instance(const Settings& givenSettings, SettingsFile givenFile, Dialect givenDialect)
     : settings(givenSettings)
+    , file(std::move(givenFile))
+    , dialect(std::move(givenDialect))
     , log("instance")
-    , configurationLog("configuration")
-    , membershipLog("membership")
-    , node(nodeOptions(givenSettings))
+    , decisions(this->clock)
+    , node(nodeOptions(givenSettings, this->dialect))
     , signals(this->context)
-    , timer(this->context)
+    , controlTimer(this->context)
+    , tendingTimer(this->context)
     , peerClient(this->context, this->clock, this->metrics)
     , peerServer(this->context, *this, this->metrics)
-    , platform(platformOptions(givenSettings), *this, *this, this->metrics)
-    , runner(this->clock, *this, this->metrics)
-    , callers(callerOptions(givenSettings), this->runner, this->metrics)
+    , storeClient(this->context, givenSettings.storeAddress, *this->dialect.store, this->clock, *this)
+    , traffic(givenSettings,
+          { .dialect = this->dialect.traffic.get(),
+              .clock = &this->clock,
+              .sink = this,
+              .metrics = &this->metrics,
+              .reader = this })
     , operators(givenSettings.operatorsAddress, *this, *this)
+    , stop({ .lead = givenSettings.stopReadinessLead, .bound = givenSettings.stopBound })
 {
 }
 
 void Instance::post(const Event& event)
 {
     Actions actions;
+    Milliseconds requestDue;
+    Milliseconds controlDue;
     {
         const std::lock_guard lock(this->mutex);
-        this->node.handle(event, this->clock.now(), actions);
+        const Milliseconds now = this->clock.now();
+        this->node.handle(event, now, actions);
+        requestDue = this->node.nextRequestDue(now);
+        controlDue = this->node.nextControlDue();
     }
     for (const Action& action : actions)
-        this->execute(action);
-}
-
-void Instance::execute(const Action& action)
-{
-    std::visit(
-        [this](const auto& item) {
-            using Kind = std::decay_t<decltype(item)>;
-            if constexpr (std::is_same_v<Kind, SendToPeer> || std::is_same_v<Kind, AskStore>)
-                this->execute(item);
-            else if constexpr (std::is_same_v<Kind, AnswerChange> || std::is_same_v<Kind, AnswerInForce>)
-                this->operators.execute(item);
-            else
-                this->runner.execute(item);
-        },
-        action);
-}
-
-void Instance::execute(const SendToPeer& action)
-{
-    asio::post(this->context, [this, action] { this->peerClient.send(action.address, action.message); });
-}
-
-void Instance::execute(const AskStore& action)
-{
-    this->platform.call(action.request);
+        std::visit([this](const auto& item) { this->execute(item); }, action);
+    if (requestDue != Never)
+        this->traffic.run([this, requestDue] { this->traffic.wakeAt(requestDue); });
+    asio::dispatch(this->context, [this, controlDue] { this->wakeControlAt(controlDue); });
 }
 
 void Instance::peerMessageReceived(peers::PeerMessage message)
@@ -113,26 +94,20 @@
     this->post(PeerMessageArrived{ .message = std::move(message) });
 }
 
-PlatformPlan Instance::platformPlan() const
+void Instance::execute(const SendToPeer& action)
 {
-    const std::lock_guard lock(this->mutex);
-    return this->node.platformPlan();
+    asio::dispatch(this->context, [this, action] { this->peerClient.send(action.address, action.message); });
 }
 
-std::vector<std::string> Instance::serviceNames() const
+void Instance::execute(const AskStore& action)
 {
-    std::vector<std::string> names;
-    const v1::Configuration configuration = this->configurationInForce();
-    for (const v1::Service& service : configuration.services())
-        names.push_back(service.name());
-    return names;
+    asio::dispatch(this->context, [this, action] { this->storeClient.ask(action.request); });
 }
 
 v1::Configuration Instance::configurationInForce() const
 {
     const std::lock_guard lock(this->mutex);
-    const v1::Configuration* configuration = this->node.configuration();
-    return configuration ? *configuration : v1::Configuration();
+    return configurationView(this->node.serviceTable());
 }
 
 v1::ShowLoadAnswer Instance::showLoad(const std::string& service) const
@@ -144,7 +119,13 @@
 v1::ShowCountersAnswer Instance::showCounters() const
 {
     const std::lock_guard lock(this->mutex);
-    return countersOf(this->node.counters(), this->metrics, this->node.claimRecords(), this->node.openRequests());
+    const Milliseconds now = this->clock.now();
+    const InstanceFigures figures{ .openRequests = this->node.openRequests(),
+        .instances = this->node.instances(now),
+        .isWatching = this->node.isWatching(),
+        .storeRevision = this->node.storeRevision(),
+        .confirmedAge = now - this->node.confirmedAt() };
+    return countersOf(this->node.counters(), this->metrics, this->storeClient.counts(), figures);
 }
 
 std::string Instance::metricsText() const
@@ -158,24 +139,27 @@
     return this->node.isReady();
 }
 
+void Instance::listenFailed(
+    std::string_view place, const NetworkAddress& address, const std::error_code& error) const
+{
+    this->log.error("The address " + address.text() + " cannot be used: " + error.message()
+        + ". Free it or name another one in " + std::string(place) + ".");
+}
+
 std::error_code Instance::start()
 {
     if (const auto error = this->peerServer.listen(this->settings.peersAddress)) {
-        this->log.error("The address for peers cannot be used: " + this->settings.peersAddress.text() + ": "
-            + error.message() + ". Free it or name another one in /listen/peers.");
+        this->listenFailed("/listen/peers", this->settings.peersAddress, error);
         return error;
     }
     if (const auto error = this->operators.start()) {
-        this->log.error("The address for operators cannot be used: " + this->settings.operatorsAddress.text()
-            + ". Free it or name another one in /listen/operators.");
+        this->listenFailed("/listen/operators", this->settings.operatorsAddress, error);
         return error;
     }
-    if (const auto error = this->callers.start()) {
-        this->log.error("The address for callers cannot be used: " + this->settings.callersAddress.text()
-            + ". Free it or name another one in /listen/callers.");
+    if (const auto error = this->traffic.start()) {
+        this->listenFailed("/listen/callers or /listen/readiness", this->settings.callersAddress, error);
         return error;
     }
-    this->platform.start();
     return {};
 }
 
@@ -183,124 +167,124 @@
 {
     if (const auto error = this->start())
         return error;
-    this->log.info("Started; callers are served at " + this->settings.callersAddress.text() + ".");
+    this->log.write(Severity::Info, "started",
+        "\"callers\":\"" + this->settings.callersAddress.text() + "\",\"peers\":\""
+            + this->settings.peersAddress.text() + "\",\"store\":\"" + this->settings.storeAddress.text() + "\"");
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
+    this->signals.add(SIGHUP);
     this->awaitSignal();
-    this->scheduleTick();
+    this->post(ControlTimer{});
+    this->scheduleTending();
     this->context.run();
-    this->callers.finish();
     this->operators.stop();
-    this->platform.stop();
-    this->runner.stop();
+    this->storeClient.stop();
+    this->traffic.stop();
     this->peerClient.close();
     this->peerServer.close();
-    this->log.info("Stopped.");
+    this->log.info("stopped");
     return {};
 }
 
 void Instance::awaitSignal()
 {
-    this->signals.async_wait([this](const asio::error_code& error, int) {
+    this->signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (this->stopStep == StopStep::None)
-            this->beginStop();
-        else
-            this->log.info("A stop is under way; it ends within its bound.");
+        this->signalled(signal);
         this->awaitSignal();
     });
 }
 
-void Instance::scheduleTick()
+void Instance::signalled(int signal)
 {
-    this->timer.expires_after(TickInterval);
-    this->timer.async_wait([this](const asio::error_code& error) {
-        if (!error)
-            this->tick();
-    });
+    if (signal == SIGHUP)
+        this->reload("signal");
+    else
+        this->beginStop();
 }
 
-void Instance::tick()
+void Instance::wakeControlAt(Milliseconds due)
 {
-    this->post(Tick{});
-    this->tendSlowly();
-    this->advanceStop();
-    if (this->context.stopped())
+    if (due >= this->controlWakesAt)
         return;
-    this->scheduleTick();
+    this->controlWakesAt = due;
+    this->controlTimer.expires_after(toDuration(std::max(Milliseconds{}, due - this->clock.now())));
+    this->controlTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        this->controlWakesAt = Never;
+        this->post(ControlTimer{});
+    });
 }
 
-void Instance::tendSlowly()
+void Instance::scheduleTending()
 {
-    const Milliseconds now = this->clock.now();
-    if (now < this->nextTending)
-        return;
-    this->nextTending = now + TendingInterval;
-    this->peerClient.tend();
-    this->runner.checkCallers();
-    this->runner.closeIdleConnections();
-    this->noteChanges();
-    this->noteReadiness();
+    const bool isStopping = this->stop.step() != StopSequence::Step::None;
+    this->tendingTimer.expires_after(toDuration(isStopping ? StopInterval : TendingInterval));
+    this->tendingTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        this->tend();
+        if (!this->context.stopped())
+            this->scheduleTending();
+    });
 }
 
-void Instance::noteChanges()
+void Instance::tend()
 {
-    std::uint32_t revision = 0;
-    std::uint32_t epoch = 0;
-    int members = 0;
-    {
-        const std::lock_guard lock(this->mutex);
-        revision = this->node.configuration() ? this->node.configuration()->revision() : 0;
-        epoch = this->node.ownership().epoch();
-        members = this->node.ownership().members_size();
-    }
-    if (revision != this->notedRevision)
-        this->configurationLog.info("Revision " + std::to_string(revision) + " is in force.");
-    if (epoch != this->notedEpoch)
-        this->membershipLog.info("Epoch " + std::to_string(epoch) + " has " + std::to_string(members) + " members.");
-    this->notedRevision = revision;
-    this->notedEpoch = epoch;
+    if (++this->tendings % TendingsPerTelling == 0)
+        this->decisions.tellLeftOut();
+    this->metrics.logLinesLeftOut = droppedLogLines();
+    this->peerClient.tend();
+    this->storeClient.tend();
+    if (this->file.hasChanged())
+        this->reload("change of the file");
+    this->advanceStop();
 }
 
-void Instance::noteReadiness()
+void Instance::reload(std::string_view cause)
 {
-    const bool isReadyNow = this->isReady();
-    if (isReadyNow && !this->wasReady)
-        this->log.info("Ready.");
-    this->wasReady = isReadyNow;
+    const SettingsResult next = this->file.read();
+    if (!next.findings.empty()) {
+        this->log.error("The settings have findings; those read before stay: " + next.findings.text());
+        return;
+    }
+    setLowestSeverity(static_cast<Severity>(next.settings.logLevel));
+    this->settings.logLevel = next.settings.logLevel;
+    this->settings.seeds = next.settings.seeds;
+    this->post(SeedsChanged{ .seeds = next.settings.seeds });
+    this->log.write(Severity::Info, "reloaded",
+        "\"cause\":\"" + std::string(cause) + "\",\"seeds\":" + std::to_string(next.settings.seeds.size()));
 }
 
 void Instance::beginStop()
 {
-    this->log.info("Stopping; not ready any more, requests in flight go on.");
-    this->stopStep = StopStep::Announced;
-    this->stopBegan = this->clock.now();
-    this->callers.closeAfterAnswers();
+    if (this->stop.step() != StopSequence::Step::None) {
+        this->log.info("A stop is under way; it ends within its bound.");
+        return;
+    }
+    this->stop.begin(this->clock.now());
+    this->log.write(Severity::Info, "stopping", "\"bound\":" + std::to_string(this->settings.stopBound.count));
     this->post(StopAsked{});
+    this->traffic.run([this] { this->traffic.requestDesk().sessions().closeAfterAnswers(); });
+    this->scheduleTending();
 }
 
 void Instance::advanceStop()
 {
-    if (this->stopStep == StopStep::None)
-        return;
-    const Milliseconds since = this->clock.now() - this->stopBegan;
-    if (this->stopStep == StopStep::Announced && since >= this->settings.stopReadinessLead) {
-        this->stopStep = StopStep::Draining;
-        this->callers.closeIdle();
-    }
-    if (this->stopStep != StopStep::Draining)
-        return;
-    const bool isBoundReached = since >= this->settings.stopBound;
-    bool mayEnd = false;
-    {
-        const std::lock_guard lock(this->mutex);
-        mayEnd = this->node.mayEnd() && !this->metrics.openSessions;
+    const StopSequence::Step before = this->stop.step();
+    const bool hasWork = this->metrics.openRequests > 0;
+    const StopSequence::Step after = this->stop.advance(hasWork, this->clock.now());
+    if (before == StopSequence::Step::Announced && after == StopSequence::Step::Draining) {
+        this->traffic.run([this] {
+            this->traffic.requestDesk().sessions().stopAccepting();
+            this->traffic.requestDesk().sessions().closeIdle();
+        });
     }
-    const bool isSettled = since >= this->settings.stopReadinessLead + Settling;
-    if ((!mayEnd || !isSettled) && !isBoundReached)
+    if (after != StopSequence::Step::Ended)
         return;
-    if (!mayEnd)
+    if (hasWork)
         this->log.warning("The bound of the stop is reached; what is left ends now.");
     this->context.stop();
 }
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -10,10 +10,13 @@
 #include "Peers/PeerClient.h"
 #include "Peers/PeerMessageHandler.h"
 #include "Peers/PeerServer.h"
-#include "Platform/PlatformClient.h"
+#include "Program/DecisionLog.h"
+#include "Program/Dialect.h"
+#include "Program/SettingsFile.h"
+#include "Program/StopSequence.h"
+#include "Program/TrafficThread.h"
 #include "Settings/Settings.h"
-#include "Traffic/CallerServer.h"
-#include "Traffic/RequestRunner.h"
+#include "StoreClient/HttpStoreClient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -25,72 +28,69 @@
 
 /**
  * One running instance: the decisions, guarded by a mutex that is never held
- * over any input or output, and around them the control thread and the threads
- * of traffic that feed them events and carry their actions out.
+ * over any input or output, and around them the control thread (store, other
+ * instances, signals) and the thread of traffic that feed them events and
+ * carry their actions out.
  */
-class Instance final : private EventSink, private InstanceReader, private PeerMessageHandler, private PlatformAdviser {
+class Instance final : private EventSink, private InstanceReader, private PeerMessageHandler {
 public:
-    explicit Instance(const Settings& settings);
+    Instance(const Settings& settings, SettingsFile file, Dialect dialect);
 
     /** Runs until a planned stop has ended. */
     std::error_code run();
 
 private:
-    /** The steps of a planned stop. */
-    enum class StopStep {
-        None,
-        Announced, // not ready any more; new requests are still served
-        Draining // no new connections; requests in flight end
-    };
-
     void post(const Event& event) override;
     void peerMessageReceived(peers::PeerMessage message) override;
-    PlatformPlan platformPlan() const override;
-    std::vector<std::string> serviceNames() const override;
     v1::Configuration configurationInForce() const override;
     v1::ShowLoadAnswer showLoad(const std::string& service) const override;
     v1::ShowCountersAnswer showCounters() const override;
     bool isReady() const override;
     std::string metricsText() const override;
 
-    void execute(const Action& action);
+    template <typename TrafficAction>
+    void execute(const TrafficAction& action)
+    {
+        this->traffic.run([this, action] { this->traffic.requestDesk().execute(action); });
+    }
     void execute(const SendToPeer& action);
     void execute(const AskStore& action);
+    void execute(const AnswerChange& action) { this->operators.execute(action); }
+    void execute(const AnswerInForce& action) { this->operators.execute(action); }
+    void execute(const DecisionRecord& record) { this->decisions.write(record); }
 
     std::error_code start();
+    void listenFailed(std::string_view place, const NetworkAddress& address, const std::error_code& error) const;
     void awaitSignal();
-    void scheduleTick();
-    void tick();
-    void tendSlowly();
+    void signalled(int signal);
+    void wakeControlAt(Milliseconds due);
+    void scheduleTending();
+    void tend();
+    void reload(std::string_view cause);
     void beginStop();
     void advanceStop();
-    /** Logs what has changed since the last look. */
-    void noteChanges();
-    void noteReadiness();
 
     Settings settings;
+    SettingsFile file;
+    Dialect dialect;
     Logger log;
-    Logger configurationLog;
-    Logger membershipLog;
     SteadyClock clock;
     TrafficMetrics metrics;
+    DecisionLog decisions;
     mutable std::mutex mutex;
     Node node;
     asio::io_context context;
     asio::signal_set signals;
-    asio::steady_timer timer;
+    asio::steady_timer controlTimer;
+    asio::steady_timer tendingTimer;
+    Milliseconds controlWakesAt = Never;
     PeerClient peerClient;
     PeerServer peerServer;
-    PlatformClient platform;
-    RequestRunner runner;
-    CallerServer callers;
+    HttpStoreClient storeClient;
+    TrafficThread traffic;
     OperatorServer operators;
-    StopStep stopStep = StopStep::None;
-    Milliseconds stopBegan;
-    Milliseconds nextTending = LongAgo;
-    bool wasReady = false;
-    std::uint32_t notedRevision = 0;
-    std::uint32_t notedEpoch = 0;
+    StopSequence stop;
+    unsigned tendings = 0;
 };
 
 }
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -1,10 +1,13 @@
 #include "Logging/Logger.h"
 #include "Program/ControlCommand.h"
 #include "Program/ExitCode.h"
+#include "PlatformDialect.h"
+#include "Program/Dialect.h"
 #include "Program/Instance.h"
 #include "Settings/SettingsReader.h"
 
 #include <CLI/CLI.hpp>
+#include <array>
 #include <csignal>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
@@ -13,6 +16,12 @@
 
 using namespace burlreach;
 
+/** The dialects of this binary. */
+constexpr std::array<DialectEntry, 2> Dialects{ {
+    { .name = "own", .make = &makeOwnDialect },
+    { .name = "platform", .make = &makePlatformDialect },
+} };
+
 /** Prints all findings; true when there are none. */
 bool reportFindings(const Findings& findings)
 {
@@ -22,9 +31,17 @@
     return findings.empty();
 }
 
+/** Adds what only the binary knows: which dialects there are. */
+SettingsResult checkedSettings(SettingsResult result)
+{
+    if (result.findings.empty() && !findDialect(Dialects, result.settings.dialect))
+        result.findings.add("/dialect", "is not known; write \"own\" or \"platform\"");
+    return result;
+}
+
 ExitCode checkSettings(const std::string& path)
 {
-    const SettingsResult result = SettingsReader().readFile(path);
+    const SettingsResult result = checkedSettings(SettingsReader().readFile(path));
     if (!reportFindings(result.findings))
         return ExitCode::Refused;
     std::cout << "The settings are good.\n";
@@ -38,7 +55,8 @@
 
 ExitCode serve(const std::string& path)
 {
-    const SettingsResult result = SettingsReader().readFile(path);
+    SettingsFile file(path);
+    const SettingsResult result = checkedSettings(file.read());
     if (!reportFindings(result.findings))
         return ExitCode::Refused;
     const Settings& settings = result.settings;
@@ -48,8 +66,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     // Invalid messages are counted; nobody may fill the log with them.
     google::protobuf::SetLogHandler(nullptr);
-    Instance instance(settings);
-    return instance.run() ? ExitCode::Refused : ExitCode::Success;
+    Instance instance(settings, file, findDialect(Dialects, settings.dialect)->make());
+    const ExitCode code = instance.run() ? ExitCode::Refused : ExitCode::Success;
+    stopLogging();
+    return code;
 }
 
 }
@@ -59,8 +79,8 @@
     CLI::App program("burlreach, a load balancer for sessions that may not be dropped");
     program.set_version_flag("--version", BURLREACH_VERSION);
     program.require_subcommand(1);
-    program.footer("Exit codes: 0 done, 1 refused with findings, 2 wrong arguments, 3 conflict, 4 unknown, 5 not yet "
-                   "in force everywhere, 6 no answer.");
+    program.footer("Exit codes: 0 done, 1 refused with findings, 2 wrong arguments, 3 conflict, 4 unknown, "
+                   "6 no answer.");
     ExitCode code = ExitCode::Success;
     std::string settingsPath;
 
--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -1,5 +1,6 @@
 #include "Program/MetricsText.h"
 
+#include <algorithm>
 #include <iomanip>
 #include <sstream>
 
@@ -7,6 +8,9 @@
 
 namespace {
 
+/** Stands for never. */
+constexpr double LongestAge = 1e9;
+
 void add(v1::ShowCountersAnswer& answer, std::string_view name, std::string_view reason, double value)
 {
     v1::Counter* counter = answer.add_counters();
@@ -26,6 +30,17 @@
     add(answer, name, "p99", histogram.quantile(slowest).count);
 }
 
+void addStoreCalls(v1::ShowCountersAnswer& answer, const StoreCallCounts& calls)
+{
+    for (std::size_t operation = 0; operation < StoreOperationCount; ++operation) {
+        for (std::size_t status = 0; status < StoreStatusCount; ++status) {
+            const std::string reason = std::string(nameOf(static_cast<StoreOperation>(operation))) + "_"
+                + std::string(nameOf(static_cast<StoreStatus>(status)));
+            add(answer, "store_calls", reason, static_cast<double>(calls[operation][status]));
+        }
+    }
+}
+
 template <typename Kind>
 void addAll(v1::ShowCountersAnswer& answer, const DecisionCounters& decisions, std::string_view name)
 {
@@ -38,14 +53,21 @@
 }
 
 v1::ShowCountersAnswer countersOf(const DecisionCounters& decisions, const TrafficMetrics& traffic,
-    std::size_t claimRecords, std::size_t openRequests)
+    const StoreCallCounts& storeCalls, const InstanceFigures& figures)
 {
     v1::ShowCountersAnswer answer;
     addAll<RefusalReason>(answer, decisions, "refusals");
     addAll<RetryReason>(answer, decisions, "retries");
     addAll<DecisionCount>(answer, decisions, "decisions");
-    add(answer, "claim_records", "", static_cast<double>(claimRecords));
-    add(answer, "open_requests", "", static_cast<double>(openRequests));
+    addStoreCalls(answer, storeCalls);
+    add(answer, "open_requests", "", static_cast<double>(figures.openRequests));
+    add(answer, "instances", "", static_cast<double>(figures.instances));
+    add(answer, "watching_store", "", figures.isWatching ? 1 : 0);
+    add(answer, "store_revision", "", static_cast<double>(figures.storeRevision));
+    add(answer, "confirmed_age_milliseconds", "", std::min(figures.confirmedAge.count, LongestAge));
+    add(answer, "connections_opened", "", static_cast<double>(traffic.connectionsOpened));
+    add(answer, "connections_reused", "", static_cast<double>(traffic.connectionsReused));
+    add(answer, "log_lines_dropped", "", static_cast<double>(traffic.logLinesLeftOut));
     add(answer, "open_sessions", "", static_cast<double>(traffic.openSessions));
     add(answer, "sessions_refused", "", static_cast<double>(traffic.sessionsRefused));
     add(answer, "peer_bytes_sent", "", static_cast<double>(traffic.peerBytesSent));
@@ -53,10 +75,9 @@
     add(answer, "peer_messages_sent", "", static_cast<double>(traffic.peerMessagesSent));
     add(answer, "peer_messages_dropped", "", static_cast<double>(traffic.peerMessagesDropped));
     add(answer, "peer_messages_invalid", "", static_cast<double>(traffic.peerMessagesInvalid));
-    add(answer, "store_calls", "", static_cast<double>(traffic.storeCalls));
-    add(answer, "store_calls_failed", "", static_cast<double>(traffic.storeCallsFailed));
+    addQuantiles(answer, "answered_milliseconds", traffic.answered);
+    addQuantiles(answer, "refused_milliseconds", traffic.refused);
     addQuantiles(answer, "added_milliseconds", traffic.added);
-    addQuantiles(answer, "waited_milliseconds", traffic.waited);
     addQuantiles(answer, "at_backend_server_milliseconds", traffic.atBackendServer);
     return answer;
 }
@@ -73,8 +94,9 @@
         out << ' ' << counter.value() << '\n';
     }
     std::string text = out.str();
+    traffic.answered.write(text, "burlreach_answered_seconds", "");
+    traffic.refused.write(text, "burlreach_refused_seconds", "");
     traffic.added.write(text, "burlreach_added_seconds", "");
-    traffic.waited.write(text, "burlreach_waited_seconds", "");
     traffic.atBackendServer.write(text, "burlreach_at_backend_server_seconds", "");
     return text;
 }
--- /dev/null
+++ b/Source/Program/ReadinessPages.cpp
@@ -0,0 +1,37 @@
+#include "Program/ReadinessPages.h"
+
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned HttpVersion = 11;
+
+}
+
+ReadinessPages::ReadinessPages(
+    asio::io_context& context, std::string givenPath, const InstanceReader& givenReader, const Clock& clock)
+    : path(std::move(givenPath))
+    , reader(&givenReader)
+    , listener(context, *this, clock)
+{
+}
+
+void ReadinessPages::requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request)
+{
+    const bool isKnown = std::string_view(request.target().data(), request.target().size()) == this->path;
+    http::status status = this->reader->isReady() ? http::status::ok : http::status::service_unavailable;
+    if (!isKnown)
+        status = http::status::not_found;
+    session->answer(HttpResponse(status, HttpVersion));
+}
+
+void ReadinessPages::requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem)
+{
+    session->answer(HttpResponse(http::status::bad_request, HttpVersion));
+}
+
+}
--- /dev/null
+++ b/Source/Program/ReadinessPages.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Http/HttpListener.h"
+#include "Operators/InstanceReader.h"
+
+#include <asio/io_context.hpp>
+#include <string>
+#include <system_error>
+
+namespace burlreach {
+
+/** Answers those who ask whether new callers may be sent to this instance. */
+class ReadinessPages final : private HttpSessionHandler {
+public:
+    ReadinessPages(asio::io_context& context, std::string path, const InstanceReader& reader, const Clock& clock);
+
+    std::error_code listen(const NetworkAddress& address) { return this->listener.listen(address); }
+    void tend() { this->listener.tend(); }
+    void stop() { this->listener.stopAccepting(); }
+
+private:
+    void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) override;
+    void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) override;
+    void callerGone(const std::shared_ptr<HttpSession>&) override { }
+
+    std::string path;
+    const InstanceReader* reader;
+    HttpListener listener;
+};
+
+}
--- /dev/null
+++ b/Source/Program/TrafficThread.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Operators/InstanceReader.h"
+#include "Program/ReadinessPages.h"
+#include "Settings/Settings.h"
+#include "Traffic/RequestDesk.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <system_error>
+#include <thread>
+
+namespace burlreach {
+
+/** The thread that carries requests, with the timer of their decisions. */
+class TrafficThread {
+public:
+    struct Parts {
+        const TrafficDialect* dialect = nullptr;
+        const Clock* clock = nullptr;
+        EventSink* sink = nullptr;
+        TrafficMetrics* metrics = nullptr;
+        const InstanceReader* reader = nullptr;
+    };
+
+    TrafficThread(const Settings& settings, Parts parts);
+    ~TrafficThread();
+    TrafficThread(const TrafficThread&) = delete;
+    TrafficThread& operator=(const TrafficThread&) = delete;
+
+    std::error_code start();
+    void stop();
+
+    /** Runs it on the thread: at once when called there. */
+    void run(std::function<void()> task);
+    RequestDesk& requestDesk() { return this->desk; }
+    ReadinessPages& readinessPages() { return this->readiness; }
+    /** Sends a RequestTimer at this time; only to be called on the thread. */
+    void wakeAt(Milliseconds due);
+
+private:
+    void scheduleTending();
+
+    NetworkAddress readinessAddress;
+    Parts parts;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    asio::steady_timer timer;
+    asio::steady_timer tending;
+    RequestDesk desk;
+    ReadinessPages readiness;
+    Milliseconds wakesAt = Never;
+    std::thread thread;
+};
+
+}
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -1,7 +1,5 @@
 #include "Routing/BackendServerState.h"
 
-#include "Base/Hash.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -9,139 +7,155 @@
 
 namespace {
 
-constexpr std::size_t DefaultSlots = 3;
 /** How long a backend server rests after a refusal; doubled with each in a row. */
-constexpr Milliseconds FirstRest{ 5 };
-constexpr unsigned MostDoublings = 7;
-/** A request sent longer ago has reached the server. */
-constexpr Milliseconds OnTheWay{ 8 };
-/** How long a contradicted report counts for nothing. */
-constexpr Milliseconds Distrust{ 1000 };
+constexpr Milliseconds FirstRest{ 10 };
+constexpr unsigned MostDoublings = 5;
+constexpr double SampleShare = 0.15;
+/** What was learned of a server that nobody asks any more fades in about this time. */
+constexpr Milliseconds Forgiven{ 3000 };
+constexpr double HighestSlowness = 20;
+constexpr double UsualPercent = 100;
+
+double kept(Milliseconds since, Milliseconds now)
+{
+    return std::exp(-std::max(0.0, (now - since).count) / Forgiven.count);
+}
 
-NetworkAddress addressOf(const v1::BackendServer& server)
+}
+
+BackendServerState::BackendServerState(const BackendServerRecord& record, Milliseconds now)
 {
-    return { .host = server.address(), .port = static_cast<std::uint16_t>(server.port()) };
+    this->configure(record, now);
 }
 
+void BackendServerState::configure(const BackendServerRecord& record, Milliseconds now)
+{
+    this->description = record;
+    this->coldUntil = record.coldRemaining.count > 0 ? now + record.coldRemaining : LongAgo;
 }
 
-BackendServerState::BackendServerState(const std::string& service, const v1::BackendServer& server)
-    : serverName(server.name())
-    , nameHash(shortHashOf(service + "/" + server.name()))
-    , serverAddress(addressOf(server))
-    , limit({})
+double BackendServerState::slots() const
 {
+    const std::uint32_t told = this->lastReport.figures.slots;
+    return static_cast<double>(std::max<std::size_t>(1, told ? told : this->description.slots));
 }
 
-void BackendServerState::configure(const v1::BackendServer& server, double highestInFlight)
+bool BackendServerState::takesNewRequests() const
 {
-    const NetworkAddress address = addressOf(server);
-    if (address != this->serverAddress) {
-        this->serviceTimes.clear();
-        this->lastReport = {};
-        this->others = 0;
-        this->failures = 0;
-        this->leaving = false;
-        this->leavingAt = LongAgo;
-        this->ejectedUntil = LongAgo;
-        this->limit.restart();
-    }
-    this->serverAddress = address;
-    this->serverDataCentre = server.data_centre();
-    this->slotCount = server.slots() ? server.slots() : DefaultSlots;
-    this->draining = server.draining();
-    this->mostInFlight = highestInFlight;
-    this->limit.setHighest(highestInFlight);
+    return !this->description.draining && !this->leaving && !this->replaced;
 }
 
 void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
 {
-    this->flights.push_back({ .attempt = attempt, .sentAt = now, .crowd = this->crowd() });
+    const double expected = static_cast<double>(this->inFlight()) + this->lastReport.others + 1;
+    this->flights.push_back(
+        { .attempt = attempt, .sentAt = now, .crowd = std::max(1.0, expected / this->slots()) });
 }
 
-Milliseconds BackendServerState::ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds now)
+void BackendServerState::ended(
+    AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now)
 {
     const auto flight = std::find_if(
         this->flights.begin(), this->flights.end(), [attempt](const Flight& item) { return item.attempt == attempt; });
     if (flight == this->flights.end())
-        return {};
+        return;
     const Flight ended = *flight;
     this->flights.erase(flight);
-    this->learn(end, ended, now);
-    return now - ended.sentAt;
+    if (end.load)
+        this->reported(*end.load, now);
+    this->learn(end, ended, expected, now);
 }
 
-void BackendServerState::learn(const AttemptEnd& end, const Flight& flight, Milliseconds now)
+void BackendServerState::learn(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now)
 {
-    const Milliseconds response = now - flight.sentAt;
     switch (end.result) {
     case AttemptResult::Answered:
-        this->failures = 0;
-        this->refusals = 0;
-        this->ejectionCount = 0;
-        this->serviceTimes.add(response, flight.crowd, now);
-        this->limit.succeeded(this->inFlight());
+        this->succeeded(now);
+        this->learnSlowness(end, flight, expected, now);
         break;
     case AttemptResult::RefusedNotRun:
         this->refused(now);
         break;
+    case AttemptResult::OtherServer:
+        this->markReplaced();
+        break;
     case AttemptResult::TimedOut:
-        this->serviceTimes.add(response, flight.crowd, now);
-        this->limit.overloaded(now);
-        this->failed();
+        this->learnSlowness(end, flight, expected, now);
+        this->failed(now);
         break;
     case AttemptResult::ErrorAnswer:
     case AttemptResult::NotSent:
     case AttemptResult::Broken:
-        this->failed();
+        this->failed(now);
         break;
     case AttemptResult::Cancelled:
         break;
     }
 }
 
-double BackendServerState::crowd() const
+void BackendServerState::learnSlowness(
+    const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now)
+{
+    if (expected.count <= 0)
+        return;
+    // What the server says of the moment is not a property of its own.
+    const double told = end.load ? std::max<std::uint32_t>(end.load->workPercent, 1) / UsualPercent : 1;
+    const double sample = (now - flight.sentAt) / expected / flight.crowd / std::max(1.0, told);
+    const double before = this->slowness(now);
+    this->slownessEstimate = std::min(HighestSlowness, before + (sample - before) * SampleShare);
+    this->slownessAt = now;
+}
+
+double BackendServerState::slowness(Milliseconds now) const
+{
+    return 1 + (this->slownessEstimate - 1) * kept(this->slownessAt, now);
+}
+
+double BackendServerState::failureShare(Milliseconds now) const
 {
-    const double expected = static_cast<double>(this->inFlight()) + this->others + 1;
-    return std::max(1.0, expected / static_cast<double>(this->slotCount));
+    return this->failureEstimate * kept(this->failureAt, now);
 }
 
-bool BackendServerState::hasRoom(Milliseconds now) const
+void BackendServerState::noteOutcome(double failure, Milliseconds now)
 {
-    if (this->adaptive)
-        return now >= this->fullUntil && this->limit.hasRoom(this->inFlight());
-    return static_cast<double>(this->inFlight()) + 1 <= this->mostInFlight;
+    const double before = this->failureShare(now);
+    this->failureEstimate = before + (failure - before) * SampleShare;
+    this->failureAt = now;
+}
+
+void BackendServerState::succeeded(Milliseconds now)
+{
+    this->failures = 0;
+    this->refusals = 0;
+    this->ejectionCount = 0;
+    this->noteOutcome(0, now);
+}
+
+void BackendServerState::failed(Milliseconds now)
+{
+    ++this->failures;
+    this->noteOutcome(1, now);
 }
 
 void BackendServerState::refused(Milliseconds now)
 {
-    // A full backend server is healthy: fewer requests, and none for a moment,
-    // or its quick refusals would draw all requests to it.
-    this->limit.overloaded(now);
+    // A full backend server is healthy, but its quick refusals may not draw all
+    // requests to it.
     const double doubling = std::exp2(static_cast<double>(std::min(this->refusals++, MostDoublings)));
-    this->fullUntil = now + FirstRest * doubling;
+    this->restingUntil = now + FirstRest * doubling;
 }
 
-void BackendServerState::failed()
+void BackendServerState::reported(const LoadFigures& figures, Milliseconds now)
 {
-    ++this->failures;
+    const double total = static_cast<double>(figures.running) + figures.waiting;
+    this->lastReport = { .figures = figures,
+        .others = std::max(0.0, total - static_cast<double>(this->inFlight())),
+        .at = now };
 }
 
-bool BackendServerState::reported(const LoadReport& report)
+void BackendServerState::probeFailed()
 {
-    if (report.at <= this->lastReport.at)
-        return false;
-    this->lastReport = report;
-    const double reportedCount = report.inFlight;
-    const auto own = static_cast<double>(this->inFlight());
-    // A server that knows of fewer requests than are there from here alone
-    // reports something else than its load.
-    const auto isThere = [&](const Flight& flight) { return report.at - flight.sentAt > OnTheWay; };
-    if (std::count_if(this->flights.begin(), this->flights.end(), isThere)
-        > static_cast<std::ptrdiff_t>(report.inFlight))
-        this->distrustedUntil = report.at + Distrust;
-    this->others = std::max(0.0, reportedCount - own);
-    return true;
+    ++this->failures;
 }
 
 bool BackendServerState::leavingSign(bool says, Milliseconds at)
@@ -151,24 +165,22 @@
     this->leavingAt = at;
     const bool changed = this->leaving != says;
     this->leaving = says;
-    if (changed && !says)
-        this->limit.restart();
     return changed;
 }
 
 void BackendServerState::eject(Milliseconds until)
 {
     this->ejectedUntil = until;
-    this->failures = 0;
     ++this->ejectionCount;
-    this->limit.restart();
+    this->failures = 0;
 }
 
 Milliseconds BackendServerState::oldestAge(Milliseconds now) const
 {
-    if (this->flights.empty())
-        return {};
-    return now - this->flights.front().sentAt;
+    Milliseconds oldest;
+    for (const Flight& flight : this->flights)
+        oldest = std::max(oldest, now - flight.sentAt);
+    return oldest;
 }
 
 }
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -1,65 +1,71 @@
 #pragma once
 
 #include "Base/Milliseconds.h"
-#include "Base/NetworkAddress.h"
+#include "Configuration/BackendServerRecord.h"
 #include "Routing/AttemptResult.h"
-#include "Routing/ConcurrencyLimit.h"
-#include "Routing/LoadReport.h"
-#include "Routing/ServiceTimeEstimate.h"
-#include "configuration.pb.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace burlreach {
 
-/** What this instance knows of one backend server of a service. */
+/** A load report with the time at which it was heard. */
+struct LoadReport {
+    LoadFigures figures;
+    double others = 0; // requests of other instances at that time
+    Milliseconds at = LongAgo;
+};
+
+/** What this instance knows of one life of a backend server. */
 class BackendServerState {
 public:
-    BackendServerState(const std::string& service, const v1::BackendServer& server);
+    BackendServerState(const BackendServerRecord& record, Milliseconds now);
 
-    /** Takes over a changed description; a moved backend server starts anew. */
-    void configure(const v1::BackendServer& server, double highestInFlight);
+    /** Takes over a changed record of the same life. */
+    void configure(const BackendServerRecord& record, Milliseconds now);
+    /** Connections, and so requests in flight, that this instance may have there. */
+    void setConnectionShare(std::size_t share) { this->connectionShare = share; }
 
     void sent(AttemptNumber attempt, Milliseconds now);
-    /** Response times and failures are learned here; gives the time since sending. */
-    Milliseconds ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds now);
-    /** Keeps the report when it is newer than the known one. */
-    bool reported(const LoadReport& report);
+    /**
+     * Ends an attempt and learns from it. The expected time is that of such a
+     * request at a usual server; zero when it is not known.
+     */
+    void ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now);
+    void reported(const LoadFigures& figures, Milliseconds now);
+    /** A probe found nobody at the address, or heard nothing. */
+    void probeFailed();
     /** True when the sign is newer than the known one and says otherwise. */
     bool leavingSign(bool leaving, Milliseconds at);
+    /** Another backend server has the address: this life is over. */
+    void markReplaced() { this->replaced = true; }
     void eject(Milliseconds until);
 
-    const std::string& name() const { return this->serverName; }
-    /** Of SERVICE/NAME, as messages between instances name it. */
-    std::uint32_t hash() const { return this->nameHash; }
-    const std::string& dataCentre() const { return this->serverDataCentre; }
-    const NetworkAddress& address() const { return this->serverAddress; }
-    std::size_t slots() const { return this->slotCount; }
-
+    const BackendServerRecord& record() const { return this->description; }
+    const std::string& id() const { return this->description.id; }
+    double slots() const;
     std::size_t inFlight() const { return this->flights.size(); }
-    bool hasRoom(Milliseconds now) const;
-    /** Without limits of its own only the share of connections counts. */
-    void setAdaptive(bool adapts) { this->adaptive = adapts; }
-    double concurrency() const { return this->limit.value(); }
+    bool hasConnectionLeft() const { return this->flights.size() < this->connectionShare; }
+
     bool isLeaving() const { return this->leaving; }
-    /** When the latest sign of leaving or staying was given. */
     Milliseconds leavingSignAt() const { return this->leavingAt; }
-    bool isDraining() const { return this->draining; }
-    /** False for draining and leaving backend servers. */
-    bool takesNewRequests() const { return !this->draining && !this->isLeaving(); }
+    /** False for draining, leaving and replaced backend servers. */
+    bool takesNewRequests() const;
+    /** After a refusal it rests for a moment. */
+    bool isResting(Milliseconds now) const { return now < this->restingUntil; }
     bool isEjected(Milliseconds now) const { return now < this->ejectedUntil; }
+    /** Ejected before and not proved well since: one request at a time. */
+    bool isOnTrial() const { return this->ejectionCount > 0; }
+    bool isCold(Milliseconds now) const { return now < this->coldUntil; }
     unsigned failuresInARow() const { return this->failures; }
     unsigned ejections() const { return this->ejectionCount; }
+    double failureShare(Milliseconds now) const;
 
     const LoadReport& report() const { return this->lastReport; }
-    /** Requests in flight here from others, when the report was made. */
-    double reportedOthers() const { return this->others; }
-    /** False while the reports contradict what was sent from here. */
-    bool reportIsTrusted(Milliseconds now) const { return now >= this->distrustedUntil; }
-    const ServiceTimeEstimate& serviceTime() const { return this->serviceTimes; }
-    /** Requests for each slot when one more is sent; at least 1. */
-    double crowd() const;
+    /** How many times longer than usual requests took here, apart from the reported percentage. */
+    double slowness(Milliseconds now) const;
     /** How long the oldest request has been in flight; zero with none. */
     Milliseconds oldestAge(Milliseconds now) const;
 
@@ -67,32 +73,31 @@
     struct Flight {
         AttemptNumber attempt = 0;
         Milliseconds sentAt;
-        double crowd = 1;
+        double crowd = 1; // requests for each slot when it was sent, at least 1
     };
 
-    void learn(const AttemptEnd& end, const Flight& flight, Milliseconds now);
-    void failed();
+    void learn(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now);
+    void learnSlowness(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now);
+    void succeeded(Milliseconds now);
+    void failed(Milliseconds now);
     void refused(Milliseconds now);
+    void noteOutcome(double failure, Milliseconds now);
 
-    std::string serverName;
-    std::uint32_t nameHash;
-    std::string serverDataCentre;
-    NetworkAddress serverAddress;
-    std::size_t slotCount = 0;
-    bool draining = false;
+    BackendServerRecord description;
+    std::size_t connectionShare = 16;
+    Milliseconds coldUntil = LongAgo;
+    bool replaced = false;
     bool leaving = false;
     Milliseconds leavingAt = LongAgo;
     std::vector<Flight> flights;
-    ConcurrencyLimit limit;
-    bool adaptive = true;
-    double mostInFlight = 1;
-    ServiceTimeEstimate serviceTimes;
     LoadReport lastReport;
-    double others = 0;
-    Milliseconds distrustedUntil = LongAgo;
+    double slownessEstimate = 1;
+    Milliseconds slownessAt = LongAgo;
+    double failureEstimate = 0;
+    Milliseconds failureAt = LongAgo;
     unsigned refusals = 0; // in a row
-    Milliseconds fullUntil = LongAgo;
-    unsigned failures = 0;
+    Milliseconds restingUntil = LongAgo;
+    unsigned failures = 0; // in a row
     unsigned ejectionCount = 0;
     Milliseconds ejectedUntil = LongAgo;
 };
--- a/Source/Routing/LoadAwarePolicy.cpp
+++ b/Source/Routing/LoadAwarePolicy.cpp
@@ -7,74 +7,88 @@
 
 namespace {
 
-/** Reports older than this say little about the load of others. */
+/** Reports older than this say little about the load of the moment. */
 constexpr Milliseconds ReportDecay{ 100 };
-constexpr Milliseconds UnknownServiceTime{ 1 };
+constexpr double UsualPercent = 100;
 /** In larger pools only this many random candidates are compared. */
-constexpr std::size_t ComparedCandidates = 12;
+constexpr std::size_t ComparedCandidates = 16;
 /** A random share of the score, so that instances do not all choose alike. */
-constexpr double Jitter = 0.1;
+constexpr double Jitter = 0.08;
 /** Service times differ by the mix of requests; only more than this is a slow server. */
-constexpr double UsualDeviation = 2.5;
-/** A request in flight for more than this many mean service times tells of a slow-down. */
-constexpr double UsualAge = 8;
-/** Another data centre counts as this share of a request in flight. */
-constexpr double DistanceShare = 0.3;
+constexpr double UsualSlowness = 1.6;
+/** A request in flight for more than this many expected times tells of a slow-down. */
+constexpr double UsualAge = 4;
+/** Another data centre counts as this share of a usual request. */
+constexpr double DistanceShare = 0.25;
+/** A server that has just started, and one that fails a request now and then. */
+constexpr double ColdFactor = 1.7;
+constexpr double FailureWeight = 4;
+/** Nearly full servers work more slowly. */
+constexpr double NearlyFull = 0.8;
+constexpr double NearlyFullFactor = 1.3;
 
-/** What is known of the pool as a whole. */
-struct Pool {
-    double meanOthers = 0;
-    Milliseconds meanServiceTime = UnknownServiceTime;
-};
+double crowdFactor(double requests, double slots)
+{
+    const double used = (requests + 1) / slots;
+    if (used <= NearlyFull)
+        return 1 + (NearlyFullFactor - 1) * used / 2;
+    return std::max(NearlyFullFactor, NearlyFullFactor + (requests + 1 - slots) / slots);
+}
 
-Pool describe(std::span<BackendServerState* const> candidates)
+}
+
+PoolLoad poolLoadOf(std::span<BackendServerState* const> servers)
 {
-    Pool pool;
-    double serviceTimes = 0;
-    std::size_t known = 0;
-    for (const BackendServerState* candidate : candidates) {
-        pool.meanOthers += candidate->reportedOthers() / static_cast<double>(candidates.size());
-        if (!candidate->serviceTime().known())
+    PoolLoad pool;
+    double others = 0;
+    double factors = 0;
+    double known = 0;
+    for (const BackendServerState* server : servers) {
+        if (server->report().at == LongAgo)
             continue;
-        serviceTimes += candidate->serviceTime().value().count;
-        ++known;
+        others += server->report().others;
+        factors += server->report().figures.workPercent / UsualPercent;
+        known += 1;
+    }
+    if (known > 0) {
+        pool.others = others / known;
+        pool.workFactor = std::max(1.0, factors / known);
     }
-    if (known)
-        pool.meanServiceTime = { serviceTimes / static_cast<double>(known) };
     return pool;
 }
 
-double expectedInFlight(const BackendServerState& server, const Pool& pool, Milliseconds now)
+ExpectedLoad expectedLoadOf(const BackendServerState& server, const PoolLoad& pool, Milliseconds now)
 {
-    const Milliseconds age = now - server.report().at;
-    const double trust = server.reportIsTrusted(now) ? std::exp(-std::max(age.count, 0.0) / ReportDecay.count) : 0;
-    const double others = pool.meanOthers + (server.reportedOthers() - pool.meanOthers) * trust;
-    return static_cast<double>(server.inFlight()) + others;
+    const LoadReport& report = server.report();
+    const double trust = std::exp(-std::max(0.0, (now - report.at).count) / ReportDecay.count);
+    const double told = std::max<std::uint32_t>(report.figures.workPercent, 1) / UsualPercent;
+    ExpectedLoad load;
+    load.requests
+        = static_cast<double>(server.inFlight()) + pool.others + (report.others - pool.others) * trust;
+    load.workFactor = pool.workFactor + (told - pool.workFactor) * trust;
+    return load;
 }
 
-/** How many times slower than the pool the server is; 1 within what is usual. */
-double slowness(const BackendServerState& server, const Pool& pool, Milliseconds now)
+double LoadAwarePolicy::score(
+    const BackendServerState& server, const PoolLoad& pool, const RoutingContext& context)
 {
-    const double known = server.serviceTime().value(pool.meanServiceTime, now) / pool.meanServiceTime / UsualDeviation;
+    const ExpectedLoad load = expectedLoadOf(server, pool, context.now);
+    const double slow = std::max(1.0, server.slowness(context.now) / UsualSlowness);
     // Own requests that hang tell of a slow-down before any answer does.
-    const double hanging = server.oldestAge(now) / pool.meanServiceTime / UsualAge;
-    return std::max({ 1.0, known, hanging });
-}
-
-double score(const BackendServerState& server, const Pool& pool, const RoutingContext& context)
-{
-    const double slots = static_cast<double>(server.slots());
-    const double distance = server.dataCentre() == context.dataCentre ? 0 : DistanceShare;
-    const double crowd = (expectedInFlight(server, pool, context.now) + 1 + distance) / slots;
-    return crowd * slowness(server, pool, context.now);
-}
-
+    const double hanging = context.expected.count > 0
+        ? std::max(1.0, server.oldestAge(context.now) / context.expected / UsualAge)
+        : 1;
+    const double cold = server.isCold(context.now) ? ColdFactor : 1;
+    const double failures = 1 + FailureWeight * server.failureShare(context.now);
+    const double distance = server.record().dataCentre == context.dataCentre ? 0 : DistanceShare;
+    const double crowd = crowdFactor(load.requests, server.slots());
+    return crowd * load.workFactor * std::max(slow, hanging) * cold * failures + distance;
 }
 
 BackendServerState* LoadAwarePolicy::choose(
     std::span<BackendServerState* const> candidates, const RoutingContext& context, Random& random)
 {
-    const Pool pool = describe(candidates);
+    const PoolLoad pool = poolLoadOf(candidates);
     const bool comparesAll = candidates.size() <= ComparedCandidates;
     const std::size_t compared = std::min(candidates.size(), ComparedCandidates);
     BackendServerState* best = nullptr;
--- a/Source/Routing/OutlierDetector.h
+++ b/Source/Routing/OutlierDetector.h
@@ -4,6 +4,7 @@
 #include "Routing/BackendServerState.h"
 
 #include <cstddef>
+#include <memory>
 #include <span>
 
 namespace burlreach {
@@ -16,6 +17,7 @@
 public:
     struct Options {
         unsigned failuresInARow = 3;
+        double failureShare = 0.45;
         Milliseconds firstEjection{ 500 };
         Milliseconds longestEjection{ 10000 };
         double largestShare = 0.5;
@@ -24,7 +26,8 @@
     explicit OutlierDetector(Options options);
 
     /** True when the backend server, which just failed, was ejected. */
-    bool check(BackendServerState& server, std::span<BackendServerState* const> pool, Milliseconds now) const;
+    bool check(BackendServerState& server, std::span<const std::shared_ptr<BackendServerState>> pool,
+        Milliseconds now) const;
 
 private:
     Options options;
--- /dev/null
+++ b/Source/Routing/RouteTable.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Configuration/RoutingConfiguration.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace burlreach {
+
+/**
+ * Finds the route of a request: among those of its host and method the one
+ * with the longest path prefix; a named method goes before one for all.
+ */
+class RouteTable {
+public:
+    RouteTable() = default;
+    explicit RouteTable(const RoutingConfiguration& configuration);
+
+    /** Null when no route leads anywhere. The path may carry a query. */
+    std::shared_ptr<const Route> find(std::string_view host, std::string_view method, std::string_view path) const;
+    std::size_t size() const { return this->count; }
+
+private:
+    std::unordered_map<std::string, std::vector<std::shared_ptr<const Route>>> byHost;
+    std::size_t count = 0;
+};
+
+}
--- a/Source/Routing/RoutingPolicy.h
+++ b/Source/Routing/RoutingPolicy.h
@@ -9,10 +9,11 @@
 
 namespace burlreach {
 
-/** Where and when a choice is made. */
+/** Where, when and for what a choice is made. */
 struct RoutingContext {
     Milliseconds now;
     std::string_view dataCentre; // of the choosing instance
+    Milliseconds expected; // time of such a request at a usual server; zero: not known
 };
 
 /** Chooses the backend server for a request among those that may take it. */
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -1,6 +1,9 @@
 #include "Routing/ServicePool.h"
 
+#include "Routing/LoadAwarePolicy.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace burlreach {
 
@@ -11,99 +14,126 @@
 {
 }
 
-void ServicePool::configure(const v1::Service& service, std::size_t connectionsPerBackendServer, std::size_t instances)
+bool ServicePool::put(const BackendServerRecord& record, Milliseconds now)
 {
-    const std::size_t share = connectionsPerBackendServer / std::max<std::size_t>(instances, 1);
-    const auto highestInFlight = static_cast<double>(std::max<std::size_t>(share, 1));
-    std::vector<std::shared_ptr<BackendServerState>> next;
-    for (const v1::BackendServer& server : service.backend_servers()) {
-        auto state = this->find(server.name());
-        if (!state)
-            state = std::make_shared<BackendServerState>(service.name(), server);
-        state->configure(server, highestInFlight);
-        state->setAdaptive(this->options.adaptive);
-        next.push_back(std::move(state));
+    if (const auto known = this->find(record.id)) {
+        known->configure(record, now);
+        return false;
     }
-    this->list = std::move(next);
+    this->list.push_back(std::make_shared<BackendServerState>(record, now));
+    this->list.back()->setConnectionShare(this->connectionShare);
+    return true;
+}
+
+bool ServicePool::remove(std::string_view id)
+{
+    return std::erase_if(this->list, [id](const auto& server) { return server->id() == id; }) > 0;
+}
+
+void ServicePool::setConnectionShare(std::size_t share)
+{
+    this->connectionShare = std::max<std::size_t>(share, 1);
+    for (const auto& server : this->list)
+        server->setConnectionShare(this->connectionShare);
 }
 
 std::vector<BackendServerState*> ServicePool::filter(
-    std::span<const std::shared_ptr<BackendServerState>> tried, Milliseconds now, bool withEjected) const
+    std::span<const std::shared_ptr<BackendServerState>> without, bool withEjected, Milliseconds now) const
 {
     std::vector<BackendServerState*> found;
     for (const auto& server : this->list) {
-        const bool isTried = std::find(tried.begin(), tried.end(), server) != tried.end();
-        if (server->takesNewRequests() && !isTried && (withEjected || !server->isEjected(now)))
+        const bool isLeftOut = std::find(without.begin(), without.end(), server) != without.end();
+        if (server->takesNewRequests() && !isLeftOut && (withEjected || !server->isEjected(now)))
             found.push_back(server.get());
     }
     return found;
 }
 
-std::vector<BackendServerState*> ServicePool::takers(
-    std::span<const std::shared_ptr<BackendServerState>> tried, Milliseconds now) const
+std::vector<BackendServerState*> ServicePool::takers(const ChoiceWish& wish, Milliseconds now) const
 {
+    auto found = this->filter(wish.tried, false, now);
+    if (!found.empty() || wish.onlyUntried)
+        return found;
     // Rather a tried or an ejected backend server than none.
-    auto found = this->filter(tried, now, false);
-    if (found.empty())
-        found = this->filter({}, now, false);
+    found = this->filter({}, false, now);
     if (found.empty())
-        found = this->filter({}, now, true);
+        found = this->filter({}, true, now);
     return found;
 }
 
-Choice ServicePool::choose(
-    std::span<const std::shared_ptr<BackendServerState>> tried, const RoutingContext& context, Random& random)
+bool ServicePool::hasRoom(const BackendServerState& server, double requests, Milliseconds now) const
+{
+    if (!server.hasConnectionLeft())
+        return false;
+    if (!this->options.adaptive)
+        return true;
+    if (server.isResting(now) || (server.isOnTrial() && server.inFlight() > 0))
+        return false;
+    return requests < server.slots() * (1 + this->options.waitingPerSlot);
+}
+
+Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
 {
-    auto candidates = this->takers(tried, context.now);
+    auto candidates = this->takers(wish, context.now);
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::NobodyTakes };
-    std::erase_if(candidates, [&](const BackendServerState* server) { return !server->hasRoom(context.now); });
+    const PoolLoad pool = poolLoadOf(candidates);
+    std::erase_if(candidates, [&](const BackendServerState* server) {
+        return !this->hasRoom(*server, expectedLoadOf(*server, pool, context.now).requests, context.now);
+    });
+    if (!wish.mayTry && candidates.size() > 1) {
+        const bool hasOthers = std::any_of(
+            candidates.begin(), candidates.end(), [](const BackendServerState* server) { return !server->isOnTrial(); });
+        if (hasOthers)
+            std::erase_if(candidates, [](const BackendServerState* server) { return server->isOnTrial(); });
+    }
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Full };
     const BackendServerState* chosen = this->policy->choose(candidates, context, random);
-    return { .server = this->find(chosen->name()), .reason = NoChoice::Full };
+    return { .server = this->find(chosen->id()), .reason = NoChoice::Full };
+}
+
+std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthProbing(
+    std::size_t most, Milliseconds freshFor, const RoutingContext& context, Random& random) const
+{
+    std::vector<BackendServerState*> takers = this->filter({}, false, context.now);
+    const PoolLoad pool = poolLoadOf(takers);
+    constexpr double jitter = 0.3;
+    std::vector<std::pair<double, const BackendServerState*>> ranked;
+    ranked.reserve(takers.size());
+    for (const BackendServerState* server : takers)
+        ranked.emplace_back(
+            LoadAwarePolicy::score(*server, pool, context) * (1 + jitter * random.unit()), server);
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), most));
+    std::vector<std::shared_ptr<BackendServerState>> found;
+    for (const auto& [score, server] : ranked) {
+        if (context.now - server->report().at > freshFor)
+            found.push_back(this->find(server->id()));
+    }
+    return found;
 }
 
 bool ServicePool::checkOutlier(BackendServerState& server, Milliseconds now)
 {
-    if (!this->options.adaptive)
-        return false;
-    std::vector<BackendServerState*> pool;
-    for (const auto& item : this->list)
-        pool.push_back(item.get());
-    return this->outliers.check(server, pool, now);
+    return this->options.adaptive && this->outliers.check(server, this->list, now);
 }
 
-std::shared_ptr<BackendServerState> ServicePool::find(std::string_view name) const
+std::shared_ptr<BackendServerState> ServicePool::find(std::string_view id) const
 {
     const auto found = std::find_if(
-        this->list.begin(), this->list.end(), [name](const auto& server) { return server->name() == name; });
+        this->list.begin(), this->list.end(), [id](const auto& server) { return server->id() == id; });
     return found == this->list.end() ? nullptr : *found;
 }
 
-double ServicePool::concurrency() const
+double ServicePool::slots() const
 {
     double sum = 0;
     for (const auto& server : this->list) {
         if (server->takesNewRequests())
-            sum += server->concurrency();
+            sum += server->slots();
     }
     return sum;
 }
 
-std::optional<Milliseconds> ServicePool::meanResponse() const
-{
-    Milliseconds sum;
-    std::size_t known = 0;
-    for (const auto& server : this->list) {
-        if (!server->serviceTime().known())
-            continue;
-        sum = sum + server->serviceTime().value();
-        ++known;
-    }
-    if (!known)
-        return std::nullopt;
-    return sum * (1 / static_cast<double>(known));
-}
-
 }
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -3,10 +3,9 @@
 #include "Base/Random.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/RoutingPolicy.h"
-#include "configuration.pb.h"
 
+#include <cstddef>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -25,41 +24,51 @@
     NoChoice reason = NoChoice::NobodyTakes;
 };
 
+/** What a choice is for. */
+struct ChoiceWish {
+    std::span<const std::shared_ptr<BackendServerState>> tried; // others are preferred
+    bool onlyUntried = false;
+    bool mayTry = true; // a backend server on trial may be given the request
+};
+
 /** The backend servers of one service and the choice among them. */
 class ServicePool {
 public:
     struct Options {
         bool adaptive = true; // limits for each backend server, ejections
+        double waitingPerSlot = 0.34; // requests that may wait at a backend server
     };
 
     ServicePool(std::unique_ptr<RoutingPolicy> policy, Options options);
 
-    /** Keeps what is known of backend servers that stay. */
-    void configure(const v1::Service& service, std::size_t connectionsPerBackendServer, std::size_t instances);
-
-    /** Prefers backend servers that are not among the tried ones. */
-    Choice choose(
-        std::span<const std::shared_ptr<BackendServerState>> tried, const RoutingContext& context, Random& random);
+    /** Adds a life of a backend server or takes over its changed record; true when it is new. */
+    bool put(const BackendServerRecord& record, Milliseconds now);
+    /** True when it was there. */
+    bool remove(std::string_view id);
+    void setConnectionShare(std::size_t share);
 
+    Choice choose(const ChoiceWish& wish, const RoutingContext& context, Random& random);
+    /** Those worth asking for their load before a choice, the best by what is known first. */
+    std::vector<std::shared_ptr<BackendServerState>> worthProbing(
+        std::size_t most, Milliseconds freshFor, const RoutingContext& context, Random& random) const;
     /** Ejects the backend server when it has failed too often; true if so. */
     bool checkOutlier(BackendServerState& server, Milliseconds now);
 
-    std::shared_ptr<BackendServerState> find(std::string_view name) const;
+    std::shared_ptr<BackendServerState> find(std::string_view id) const;
     std::span<const std::shared_ptr<BackendServerState>> servers() const { return this->list; }
-    /** Requests that may be in flight from here, all backend servers together. */
-    double concurrency() const;
-    /** The mean time to answer, if any is known. */
-    std::optional<Milliseconds> meanResponse() const;
+    /** Slots of all backend servers that take requests. */
+    double slots() const;
 
 private:
-    std::vector<BackendServerState*> takers(
-        std::span<const std::shared_ptr<BackendServerState>> tried, Milliseconds now) const;
+    bool hasRoom(const BackendServerState& server, double requests, Milliseconds now) const;
+    std::vector<BackendServerState*> takers(const ChoiceWish& wish, Milliseconds now) const;
     std::vector<BackendServerState*> filter(
-        std::span<const std::shared_ptr<BackendServerState>> tried, Milliseconds now, bool withEjected) const;
+        std::span<const std::shared_ptr<BackendServerState>> without, bool withEjected, Milliseconds now) const;
 
     Options options;
     std::unique_ptr<RoutingPolicy> policy;
     OutlierDetector outliers;
+    std::size_t connectionShare = 16;
     std::vector<std::shared_ptr<BackendServerState>> list;
 };
 
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -21,18 +21,20 @@
     Error
 };
 
-/** What an instance reads once, at its start. Each default stands here only. */
+/** What an instance reads at its start and again when the file changes. Each default stands here only. */
 struct Settings {
     std::string instanceName;
     std::string dataCentre;
+    std::string dialect = "own"; // the form in which the world around is spoken to
 
     NetworkAddress callersAddress;
     NetworkAddress operatorsAddress;
     NetworkAddress peersAddress;
+    NetworkAddress readinessAddress; // port 0: only at the operators' address
+    std::string readinessPath = "/ready";
 
-    NetworkAddress platformAddress;
-    std::string platformKeyPrefix = "burlreach/";
-    std::string platformServiceName = "burlreach";
+    NetworkAddress storeAddress;
+    std::vector<NetworkAddress> seeds; // other instances, at their addresses for peers
 
     std::size_t maximumSessions = 4000;
     std::size_t maximumHeaderBytes = 8192;
@@ -40,10 +42,11 @@
     Milliseconds idleSession{ 300000 };
 
     Milliseconds stopBound{ 30000 };
-    Milliseconds stopReadinessLead{ 2000 };
+    Milliseconds stopReadinessLead{ 2500 };
 
-    Milliseconds heartbeatInterval{ 500 };
-    Milliseconds requestIdsKept{ 300000 };
+    double retryShare = 0.1;
+    std::size_t retrySlack = 0;
+    Milliseconds retryWindow{ 10000 };
 
     LogFormat logFormat = LogFormat::Text;
     LogLevel logLevel = LogLevel::Info;
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -1,5 +1,6 @@
 #include "Settings/SettingsReader.h"
 
+#include "Settings/DuplicateKeys.h"
 #include "Settings/SettingsSection.h"
 
 #include <array>
@@ -10,14 +11,15 @@
 
 namespace {
 
-constexpr NumberRange SessionRange{ .lowest = 1, .highest = 20000 };
-constexpr NumberRange HeaderRange{ .lowest = 1024, .highest = 8192 };
+constexpr NumberRange SessionRange{ .lowest = 1, .highest = 100000 };
+constexpr NumberRange HeaderRange{ .lowest = 1024, .highest = 1048576 };
 constexpr NumberRange BodyRange{ .lowest = 1024, .highest = 67108864 };
 constexpr NumberRange IdleRange{ .lowest = 1000, .highest = 86400000 };
 constexpr NumberRange StopRange{ .lowest = 100, .highest = 3600000 };
 constexpr NumberRange LeadRange{ .lowest = 0, .highest = 60000 };
-constexpr NumberRange HeartbeatRange{ .lowest = 50, .highest = 5000 };
-constexpr NumberRange KeptRange{ .lowest = 10000, .highest = 3600000 };
+constexpr NumberRange SlackRange{ .lowest = 0, .highest = 1000000 };
+constexpr NumberRange WindowRange{ .lowest = 1000, .highest = 600000 };
+constexpr double HighestRetryShare = 1;
 
 constexpr std::array<std::string_view, 2> LogFormats{ "text", "json" };
 constexpr std::array<std::string_view, 4> LogLevels{ "debug", "info", "warning", "error" };
@@ -34,14 +36,22 @@
     section.requiredAddress("callers", settings.callersAddress);
     section.requiredAddress("operators", settings.operatorsAddress);
     section.requiredAddress("peers", settings.peersAddress);
+    section.optionalAddress("readiness", settings.readinessAddress);
+    section.optionalText("readinessPath", settings.readinessPath);
     section.finish();
 }
 
-void readPlatform(SettingsSection section, Settings& settings)
+void readStore(SettingsSection section, Settings& settings)
 {
-    section.requiredAddress("address", settings.platformAddress);
-    section.optionalText("keyPrefix", settings.platformKeyPrefix);
-    section.optionalText("serviceName", settings.platformServiceName);
+    section.requiredAddress("address", settings.storeAddress);
+    section.finish();
+}
+
+void readRetries(SettingsSection section, Settings& settings)
+{
+    section.optionalShare("share", HighestRetryShare, settings.retryShare);
+    section.optionalSize("slack", SlackRange, settings.retrySlack);
+    section.optionalMilliseconds("window", WindowRange, settings.retryWindow);
     section.finish();
 }
 
@@ -50,21 +60,14 @@
     section.optionalSize("maximum", SessionRange, settings.maximumSessions);
     section.optionalSize("maximumHeaderBytes", HeaderRange, settings.maximumHeaderBytes);
     section.optionalSize("maximumBodyBytes", BodyRange, settings.maximumBodyBytes);
-    section.optionalMilliseconds("idleMilliseconds", IdleRange, settings.idleSession);
+    section.optionalMilliseconds("idle", IdleRange, settings.idleSession);
     section.finish();
 }
 
 void readStop(SettingsSection section, Settings& settings)
 {
-    section.optionalMilliseconds("boundMilliseconds", StopRange, settings.stopBound);
-    section.optionalMilliseconds("readinessLeadMilliseconds", LeadRange, settings.stopReadinessLead);
-    section.finish();
-}
-
-void readFleet(SettingsSection section, Settings& settings)
-{
-    section.optionalMilliseconds("heartbeatMilliseconds", HeartbeatRange, settings.heartbeatInterval);
-    section.optionalMilliseconds("requestIdsKeptMilliseconds", KeptRange, settings.requestIdsKept);
+    section.optionalMilliseconds("bound", StopRange, settings.stopBound);
+    section.optionalMilliseconds("readinessLead", LeadRange, settings.stopReadinessLead);
     section.finish();
 }
 
@@ -82,8 +85,8 @@
     if (!findings.empty())
         return;
     if (settings.stopReadinessLead >= settings.stopBound)
-        findings.add("/stop/readinessLeadMilliseconds",
-            "is not below boundMilliseconds; requests in flight would get no time; write a smaller lead or a larger "
+        findings.add("/stop/readinessLead",
+            "is not below bound; requests in flight would get no time; write a smaller lead or a larger "
             "bound");
     if (settings.callersAddress == settings.operatorsAddress || settings.callersAddress == settings.peersAddress
         || settings.operatorsAddress == settings.peersAddress)
@@ -95,7 +98,7 @@
 SettingsResult SettingsReader::read(std::string_view text) const
 {
     SettingsResult result;
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json document = parseWithoutDuplicates(text, result.findings);
     if (document.is_discarded()) {
         result.findings.add("/", "is not JSON; check commas, quotes and braces");
         return result;
@@ -103,10 +106,12 @@
     SettingsSection root(document, "", result.findings);
     readInstance(root.section("instance"), result.settings);
     readListen(root.section("listen"), result.settings);
-    readPlatform(root.section("platform"), result.settings);
+    root.optionalText("dialect", result.settings.dialect);
+    readStore(root.section("store"), result.settings);
+    root.optionalAddresses("seeds", result.settings.seeds);
     readSessions(root.section("sessions"), result.settings);
     readStop(root.section("stop"), result.settings);
-    readFleet(root.section("fleet"), result.settings);
+    readRetries(root.section("retries"), result.settings);
     readLog(root.section("log"), result.settings);
     root.finish();
     checkContradictions(result.settings, result.findings);
--- a/Source/Settings/SettingsSection.cpp
+++ b/Source/Settings/SettingsSection.cpp
@@ -1,5 +1,7 @@
 #include "Settings/SettingsSection.h"
 
+#include "Base/SpanText.h"
+
 namespace burlreach {
 
 namespace {
@@ -84,6 +86,44 @@
     value = *parsed;
 }
 
+void SettingsSection::optionalAddress(std::string_view key, NetworkAddress& value)
+{
+    if (this->find(key))
+        this->requiredAddress(key, value);
+}
+
+void SettingsSection::optionalAddresses(std::string_view key, std::vector<NetworkAddress>& value)
+{
+    const nlohmann::json* found = this->find(key);
+    if (!found)
+        return;
+    if (!found->is_array()) {
+        this->findings->add(this->placeOf(key), "is not a list; write addresses such as [\"127.0.0.1:8080\"]");
+        return;
+    }
+    for (std::size_t index = 0; index < found->size(); ++index) {
+        const nlohmann::json& item = (*found)[index];
+        const auto parsed = item.is_string() ? parseNetworkAddress(item.get<std::string>()) : std::nullopt;
+        if (parsed)
+            value.push_back(*parsed);
+        else
+            this->findings->add(this->placeOf(key) + "/" + std::to_string(index),
+                "is not an address; " + std::string(AddressExample));
+    }
+}
+
+void SettingsSection::optionalShare(std::string_view key, double highest, double& value)
+{
+    const nlohmann::json* found = this->find(key);
+    if (!found)
+        return;
+    const bool isGood = found->is_number() && found->get<double>() >= 0 && found->get<double>() <= highest;
+    if (isGood)
+        value = found->get<double>();
+    else
+        this->findings->add(this->placeOf(key), "is no share; write a number from 0 to 1, such as 0.1");
+}
+
 void SettingsSection::optionalSize(std::string_view key, NumberRange range, std::size_t& value)
 {
     const nlohmann::json* found = this->find(key);
@@ -103,9 +143,26 @@
 
 void SettingsSection::optionalMilliseconds(std::string_view key, NumberRange range, Milliseconds& value)
 {
-    auto number = static_cast<std::size_t>(value.count);
-    this->optionalSize(key, range, number);
-    value = { static_cast<double>(number) };
+    const nlohmann::json* found = this->find(key);
+    if (!found)
+        return;
+    const auto read = found->is_string() ? parseSpan(found->get<std::string>()) : std::nullopt;
+    if (found->is_string() && !read) {
+        this->findings->add(this->placeOf(key), "is no span; write one such as \"1500ms\" or \"2.5s\"");
+        return;
+    }
+    if (!read) {
+        auto number = static_cast<std::size_t>(value.count);
+        this->optionalSize(key, range, number);
+        value = { static_cast<double>(number) };
+        return;
+    }
+    const bool isInRange = read->count >= static_cast<double>(range.lowest)
+        && read->count <= static_cast<double>(range.highest);
+    if (isInRange)
+        value = *read;
+    else
+        this->findings->add(this->placeOf(key), "is out of range; in milliseconds, " + rangeText(range));
 }
 
 std::size_t SettingsSection::optionalChoice(
--- a/Source/Settings/SettingsSection.h
+++ b/Source/Settings/SettingsSection.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace burlreach {
 
@@ -31,7 +32,12 @@
     void requiredText(std::string_view key, std::string& value);
     void optionalText(std::string_view key, std::string& value);
     void requiredAddress(std::string_view key, NetworkAddress& value);
+    void optionalAddress(std::string_view key, NetworkAddress& value);
+    void optionalAddresses(std::string_view key, std::vector<NetworkAddress>& value);
     void optionalSize(std::string_view key, NumberRange range, std::size_t& value);
+    /** A number from 0 to the highest. */
+    void optionalShare(std::string_view key, double highest, double& value);
+    /** A number of milliseconds, or a text such as "1500ms" or "2.5s". */
     void optionalMilliseconds(std::string_view key, NumberRange range, Milliseconds& value);
     /** Gives the index of the value among the choices, or fallback. */
     std::size_t optionalChoice(std::string_view key, std::span<const std::string_view> choices, std::size_t fallback);
--- a/Source/Exchange/StoreCallNumbers.h
+++ b/Source/Store/StoreCallNumbers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Exchange/StoreRequest.h"
+#include "Store/StoreCall.h"
 
 namespace burlreach {
 
--- /dev/null
+++ b/Source/Store/StoreReader.cpp
@@ -0,0 +1,113 @@
+#include "Store/StoreReader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burlreach {
+
+StoreReader::StoreReader(
+    Options givenOptions, StoreView& givenView, StoreCallNumbers& givenNumbers, Random& givenRandom)
+    : options(std::move(givenOptions))
+    , view(&givenView)
+    , numbers(&givenNumbers)
+    , random(&givenRandom)
+    , backoff(this->options.backoff)
+{
+}
+
+StoreRequest StoreReader::newRequest(StoreOperation operation, Milliseconds now)
+{
+    StoreRequest request;
+    request.number = this->numbers->next();
+    request.operation = operation;
+    request.key = this->options.prefix;
+    request.timeout = this->options.readTimeout;
+    this->pending = request.number;
+    this->pendingOperation = operation;
+    this->sentAt = now;
+    return request;
+}
+
+std::optional<StoreRequest> StoreReader::next(Milliseconds now, bool shouldWatch)
+{
+    this->watching = shouldWatch;
+    if (this->pending || now < this->pausedUntil)
+        return std::nullopt;
+    if (this->mustRead()) {
+        StoreRequest request = this->newRequest(StoreOperation::ReadRange, now);
+        if (this->pages.empty())
+            this->readingSince = now;
+        else
+            request.afterKey = this->pages.back().key;
+        return request;
+    }
+    if (!shouldWatch)
+        return std::nullopt;
+    StoreRequest request = this->newRequest(StoreOperation::Watch, now);
+    request.after = this->view->revision();
+    request.wait = this->options.watchWait;
+    request.timeout = this->options.watchWait + this->options.watchGrace;
+    return request;
+}
+
+bool StoreReader::mustRead() const
+{
+    // A view that came from another instance is watched from where it stands.
+    return this->historyLost || !this->pages.empty() || !this->view->revision();
+}
+
+StoreNews StoreReader::answered(const StoreAnswer& answer, Milliseconds now)
+{
+    if (answer.number != this->pending)
+        return {};
+    this->pending = 0;
+    if (answer.status == StoreStatus::HistoryLost) {
+        this->historyLost = true;
+        return {};
+    }
+    if (answer.status != StoreStatus::Done)
+        return this->failed(now);
+    this->backoff.reset();
+    return this->pendingOperation == StoreOperation::Watch ? this->watched(answer, now) : this->rangeRead(answer, now);
+}
+
+StoreNews StoreReader::failed(Milliseconds now)
+{
+    this->pausedUntil = now + this->backoff.next(*this->random);
+    StoreNews news;
+    news.isFailure = true;
+    return news;
+}
+
+StoreNews StoreReader::rangeRead(const StoreAnswer& answer, Milliseconds now)
+{
+    this->latency = now - this->sentAt;
+    if (this->pages.empty())
+        this->pagesAt = answer.at;
+    this->pages.insert(this->pages.end(), answer.items.begin(), answer.items.end());
+    if (answer.more && !answer.items.empty())
+        return {};
+    StoreNews news;
+    // The pages are no snapshot: only the first one's revision is complete.
+    news.changes = this->view->replaceAll(this->pages, this->pagesAt);
+    news.isConfirmed = true;
+    news.confirmedAt = this->readingSince;
+    this->pages.clear();
+    this->historyLost = false;
+    return news;
+}
+
+StoreNews StoreReader::watched(const StoreAnswer& answer, Milliseconds now)
+{
+    if (!answer.items.empty())
+        this->pausedUntil = now + this->options.watchGap;
+    else
+        this->latency = std::max(Milliseconds{}, now - this->sentAt - this->options.watchWait);
+    StoreNews news;
+    news.changes = this->view->applyChanges(answer.items, answer.at);
+    news.isConfirmed = true;
+    news.confirmedAt = std::max(this->sentAt, now - this->latency);
+    return news;
+}
+
+}
--- /dev/null
+++ b/Source/Store/StoreReader.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Base/Milliseconds.h"
+#include "Base/Random.h"
+#include "Exchange/Backoff.h"
+#include "Store/StoreCall.h"
+#include "Store/StoreCallNumbers.h"
+#include "Store/StoreView.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burlreach {
+
+/** What an answer of the store changed here. */
+struct StoreNews {
+    std::vector<StoreItem> changes;
+    bool isConfirmed = false; // the view was complete when the call was sent
+    Milliseconds confirmedAt = LongAgo;
+    bool isFailure = false; // the store gave no usable answer
+};
+
+/**
+ * Decides when this instance asks the store: it reads everything once, then
+ * watches as long as it is told to, and reads everything again when the store
+ * has forgotten the changes in between. A call without a usable answer is
+ * followed by a pause that grows, with jitter.
+ */
+class StoreReader {
+public:
+    struct Options {
+        std::string prefix; // of the keys that are watched
+        Milliseconds watchWait{ 800 }; // also how often a quiet store confirms the view
+        Milliseconds watchGap{ 100 }; // between changes and the next watch, so that changes in a row come together
+        Milliseconds readTimeout{ 800 };
+        Milliseconds watchGrace{ 500 }; // a watch without an answer is given up this long after its wait
+        Backoff::Options backoff{ .first = { 100 }, .longest = { 1500 } };
+    };
+
+    StoreReader(Options options, StoreView& view, StoreCallNumbers& numbers, Random& random);
+
+    /** The next call, if it is time for one. */
+    std::optional<StoreRequest> next(Milliseconds now, bool shouldWatch);
+    StoreNews answered(const StoreAnswer& answer, Milliseconds now);
+
+    bool isAsking() const { return this->pending != 0; }
+    /** Watching, or about to. */
+    bool isWatching() const { return this->watching; }
+    /** When next() may give a call again; Never while one is under way. */
+    Milliseconds nextAt() const { return this->pending ? Never : this->pausedUntil; }
+
+private:
+    StoreRequest newRequest(StoreOperation operation, Milliseconds now);
+    StoreNews failed(Milliseconds now);
+    StoreNews rangeRead(const StoreAnswer& answer, Milliseconds now);
+    StoreNews watched(const StoreAnswer& answer, Milliseconds now);
+    bool mustRead() const;
+
+    Options options;
+    StoreView* view;
+    StoreCallNumbers* numbers;
+    Random* random;
+    Backoff backoff;
+    StoreCallNumber pending = 0;
+    StoreOperation pendingOperation = StoreOperation::ReadRange;
+    Milliseconds sentAt = LongAgo;
+    Milliseconds readingSince = LongAgo; // when the first page was asked for
+    Milliseconds pausedUntil = LongAgo;
+    Milliseconds latency; // of the store's answers, as last measured
+    bool historyLost = false; // everything must be read before the next watch
+    bool watching = false;
+    std::vector<StoreItem> pages;
+    StoreRevision pagesAt = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Store/StoreView.cpp
@@ -0,0 +1,107 @@
+#include "Store/StoreView.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+namespace {
+
+/** Enough for the removals of many minutes; whoever is further behind takes everything. */
+constexpr std::size_t RememberedRemovals = 1024;
+
+}
+
+bool StoreView::take(const StoreItem& item)
+{
+    const auto removal = std::find_if(this->removals.begin(), this->removals.end(),
+        [&](const StoreItem& known) { return known.key == item.key && known.revision >= item.revision; });
+    if (removal != this->removals.end())
+        return false;
+    const auto known = this->items.find(item.key);
+    const bool isThere = known != this->items.end();
+    if (isThere && known->second.revision >= item.revision)
+        return false;
+    if (item.removed) {
+        this->remember(item);
+        if (isThere)
+            this->items.erase(known);
+        return isThere;
+    }
+    if (isThere)
+        known->second = item;
+    else
+        this->items.emplace(item.key, item);
+    return true;
+}
+
+void StoreView::remember(const StoreItem& removal)
+{
+    this->removals.push_back(removal);
+    if (this->removals.size() <= RememberedRemovals)
+        return;
+    this->changesKnownSince = std::max(this->changesKnownSince, this->removals.front().revision);
+    this->removals.pop_front();
+}
+
+std::vector<StoreItem> StoreView::applyChanges(std::span<const StoreItem> changes, StoreRevision through)
+{
+    std::vector<StoreItem> news;
+    for (const StoreItem& change : changes) {
+        if (this->take(change))
+            news.push_back(change);
+    }
+    this->completeThrough = std::max(this->completeThrough, through);
+    return news;
+}
+
+std::vector<StoreItem> StoreView::replaceAll(std::span<const StoreItem> all, StoreRevision at)
+{
+    std::vector<std::string_view> present;
+    present.reserve(all.size());
+    for (const StoreItem& item : all)
+        present.push_back(item.key);
+    std::sort(present.begin(), present.end());
+    std::vector<StoreItem> changes(all.begin(), all.end());
+    for (const auto& [key, item] : this->items) {
+        const bool isMissing = !std::binary_search(present.begin(), present.end(), std::string_view(key));
+        if (isMissing && item.revision <= at)
+            changes.push_back({ .key = key, .value = {}, .revision = at, .removed = true });
+    }
+    // A key may have come and gone between the old and the new revision; whoever
+    // is behind takes everything.
+    this->changesKnownSince = std::max(this->changesKnownSince, at);
+    return this->applyChanges(changes, at);
+}
+
+std::optional<std::vector<StoreItem>> StoreView::changesSince(StoreRevision revision) const
+{
+    if (revision < this->changesKnownSince)
+        return std::nullopt;
+    std::vector<StoreItem> found;
+    for (const auto& [key, item] : this->items) {
+        if (item.revision > revision)
+            found.push_back(item);
+    }
+    for (const StoreItem& removal : this->removals) {
+        if (removal.revision > revision)
+            found.push_back(removal);
+    }
+    return found;
+}
+
+std::vector<StoreItem> StoreView::all() const
+{
+    std::vector<StoreItem> found;
+    found.reserve(this->items.size());
+    for (const auto& [key, item] : this->items)
+        found.push_back(item);
+    return found;
+}
+
+const StoreItem* StoreView::find(std::string_view key) const
+{
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/Source/Store/StoreView.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Store/StoreItem.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlreach {
+
+/**
+ * This instance's copy of the watched part of the store, with the revision
+ * through which it is complete.
+ *
+ * Whoever tells a change, the higher revision of a key wins, so an older fact
+ * never replaces a newer one. Removed keys are remembered for a while, so that
+ * other instances can be given just what changed.
+ */
+class StoreView {
+public:
+    /** Takes changes that are complete between the two revisions; gives those that were news. */
+    std::vector<StoreItem> applyChanges(std::span<const StoreItem> changes, StoreRevision through);
+
+    /**
+     * Takes all items as they were read. Keys that are missing and were last
+     * changed at or before the revision count as removed.
+     */
+    std::vector<StoreItem> replaceAll(std::span<const StoreItem> all, StoreRevision at);
+
+    /** Nothing when the changes since that revision are no longer known one by one. */
+    std::optional<std::vector<StoreItem>> changesSince(StoreRevision revision) const;
+    std::vector<StoreItem> all() const;
+
+    /** Null when the key is absent or removed. */
+    const StoreItem* find(std::string_view key) const;
+    StoreRevision revision() const { return this->completeThrough; }
+    std::size_t size() const { return this->items.size(); }
+
+private:
+    bool take(const StoreItem& item);
+    void remember(const StoreItem& removal);
+
+    std::map<std::string, StoreItem, std::less<>> items;
+    std::deque<StoreItem> removals; // in the order in which they were heard
+    StoreRevision changesKnownSince = 0;
+    StoreRevision completeThrough = 0;
+};
+
+}
--- /dev/null
+++ b/Source/StoreClient/HttpStoreClient.cpp
@@ -0,0 +1,66 @@
+#include "StoreClient/HttpStoreClient.h"
+
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+constexpr Milliseconds ConnectTimeout{ 600 };
+constexpr const char* PoolKey = "store";
+
+StoreStatus statusOf(HttpExchangeResult result)
+{
+    return result == HttpExchangeResult::NotSent ? StoreStatus::Refused : StoreStatus::Unknown;
+}
+
+}
+
+HttpStoreClient::HttpStoreClient(asio::io_context& givenContext, const NetworkAddress& givenAddress,
+    const StoreWire& givenWire, const Clock& givenClock, EventSink& givenSink)
+    : context(&givenContext)
+    , address(givenAddress)
+    , wire(&givenWire)
+    , sink(&givenSink)
+    , connections({}, givenClock)
+{
+}
+
+void HttpStoreClient::ask(const StoreRequest& request)
+{
+    HttpRequest message = this->wire->encode(request);
+    message.set(boost::beast::http::field::host, this->address.text());
+    HttpExchange::Options options;
+    options.address = this->address;
+    options.request = encode(std::move(message));
+    options.connectTimeout = ConnectTimeout;
+    options.timeout = request.timeout;
+    const auto exchange = std::make_shared<HttpExchange>(
+        *this->context, std::move(options), [this, request](HttpExchangeEnd end) { this->ended(request, std::move(end)); });
+    this->underWay[request.number] = exchange;
+    exchange->start(this->connections.take(PoolKey, Never));
+}
+
+void HttpStoreClient::ended(const StoreRequest& request, HttpExchangeEnd end)
+{
+    this->underWay.erase(request.number);
+    StoreAnswer answer;
+    answer.number = request.number;
+    answer.status = statusOf(end.result);
+    if (end.response)
+        answer = this->wire->decode(request, *end.response);
+    // A call that was turned away may find other luck on another connection.
+    if (end.connection && answer.status != StoreStatus::Unknown && answer.status != StoreStatus::Refused)
+        this->connections.give(PoolKey, std::move(end.connection));
+    ++this->callCounts.at(static_cast<std::size_t>(request.operation)).at(static_cast<std::size_t>(answer.status));
+    this->sink->post(StoreAnswered{ .answer = std::move(answer) });
+}
+
+void HttpStoreClient::stop()
+{
+    for (const auto& [number, exchange] : this->underWay)
+        exchange->cancel();
+    this->underWay.clear();
+}
+
+}
--- /dev/null
+++ b/Source/Traffic/OwnTrafficDialect.cpp
@@ -0,0 +1,116 @@
+#include "Traffic/OwnTrafficDialect.h"
+
+#include "Traffic/LoadText.h"
+#include "Traffic/OwnHeaders.h"
+
+namespace burlreach {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned FirstErrorStatus = 500;
+
+http::status statusOf(const RefuseRequest& refusal)
+{
+    switch (refusal.reason) {
+    case RefusalReason::NoRoute:
+        return http::status::not_found;
+    case RefusalReason::BadRequest:
+        return http::status::bad_request;
+    case RefusalReason::BodyTooLarge:
+        return http::status::payload_too_large;
+    case RefusalReason::DeadlinePassedSending:
+        return refusal.outcome == RefusedOutcome::Unknown ? http::status::gateway_timeout
+                                                          : http::status::service_unavailable;
+    default:
+        return refusal.outcome == RefusedOutcome::Unknown ? http::status::bad_gateway
+                                                          : http::status::service_unavailable;
+    }
+}
+
+AttemptResult resultOf(const HttpResponse& response)
+{
+    if (response.result() == http::status::misdirected_request)
+        return AttemptResult::OtherServer;
+    if (!valueOf(response, NotRunHeader).empty())
+        return AttemptResult::RefusedNotRun;
+    return response.result_int() >= FirstErrorStatus ? AttemptResult::ErrorAnswer : AttemptResult::Answered;
+}
+
+}
+
+CallerWords OwnTrafficDialect::readCaller(const HttpRequest& request) const
+{
+    CallerWords words;
+    words.requestId = valueOf(request, RequestIdHeader);
+    const std::string_view deadline = valueOf(request, DeadlineHeader);
+    if (!deadline.empty()) {
+        words.timeLeft = parseMilliseconds(deadline);
+        words.isReadable = words.timeLeft.has_value();
+    }
+    return words;
+}
+
+void OwnTrafficDialect::writeAttempt(HttpRequest& request, const AttemptWords& words) const
+{
+    setField(request, DeadlineHeader, millisecondsText(words.timeLeft));
+    setField(request, BackendServerHeader, words.backendServer);
+}
+
+void OwnTrafficDialect::writeProbe(HttpRequest& request, const std::string& backendServer) const
+{
+    setField(request, BackendServerHeader, backendServer);
+}
+
+bool OwnTrafficDialect::isAnswerTo(const HttpResponse& response, std::string_view requestId) const
+{
+    const std::string_view told = valueOf(response, RequestIdHeader);
+    return told.empty() || told == requestId;
+}
+
+AttemptEnd OwnTrafficDialect::readAnswer(const HttpResponse& response, std::string_view) const
+{
+    AttemptEnd end;
+    end.result = resultOf(response);
+    end.status = static_cast<int>(response.result_int());
+    end.load = parseLoad(valueOf(response, LoadHeader));
+    if (valueOf(response, LoadHeader).empty())
+        end.load.reset();
+    if (!valueOf(response, LeavingHeader).empty())
+        end.leaving = true;
+    end.isPromise = end.result == AttemptResult::ErrorAnswer && response.result() == http::status::service_unavailable;
+    return end;
+}
+
+ProbeEnd OwnTrafficDialect::readProbe(const HttpResponse& response, std::string_view backendServer) const
+{
+    const AttemptEnd answer = this->readAnswer(response, backendServer);
+    ProbeEnd end;
+    end.isAnswered = true;
+    end.isOtherServer = answer.result == AttemptResult::OtherServer;
+    end.load = answer.load;
+    // A probe is what takes a sign of leaving back.
+    end.leaving = answer.leaving.value_or(false);
+    return end;
+}
+
+void OwnTrafficDialect::writeAnswer(HttpResponse& response) const
+{
+    setField(response, OutcomeHeader, "answered");
+}
+
+HttpResponse OwnTrafficDialect::refusal(const RefuseRequest& refusal, std::string_view requestId) const
+{
+    HttpResponse response(statusOf(refusal), 11);
+    if (!requestId.empty())
+        setField(response, RequestIdHeader, requestId);
+    setField(response, OutcomeHeader, refusal.outcome == RefusedOutcome::NotRun ? "not-run" : "unknown");
+    setField(response, ReasonHeader, nameOf(refusal.reason));
+    setField(response, "Retry-After", secondsText(refusal.comeBackAfter));
+    setField(response, "Content-Type", "text/plain; charset=utf-8");
+    response.body() = "burlreach: " + std::string(nameOf(refusal.reason)) + "\n";
+    return response;
+}
+
+}
--- /dev/null
+++ b/Source/Traffic/RequestDesk.cpp
@@ -0,0 +1,275 @@
+#include "Traffic/RequestDesk.h"
+
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned HttpVersion = 11;
+constexpr Milliseconds UsualComeBack{ 1000 };
+
+RefusalReason reasonOf(HttpRequestProblem problem)
+{
+    return problem == HttpRequestProblem::BodyTooLarge ? RefusalReason::BodyTooLarge : RefusalReason::BadRequest;
+}
+
+http::status statusOf(HttpRequestProblem problem)
+{
+    switch (problem) {
+    case HttpRequestProblem::HeaderTooLarge:
+        return http::status::request_header_fields_too_large;
+    case HttpRequestProblem::BodyTooLarge:
+        return http::status::payload_too_large;
+    case HttpRequestProblem::TooSlow:
+        return http::status::request_timeout;
+    case HttpRequestProblem::Malformed:
+        break;
+    }
+    return http::status::bad_request;
+}
+
+}
+
+RequestDesk::RequestDesk(asio::io_context& givenContext, Options givenOptions, Parts givenParts)
+    : context(&givenContext)
+    , options(std::move(givenOptions))
+    , parts(givenParts)
+    , listener(givenContext, *this, *givenParts.clock)
+    , connections({}, *givenParts.clock)
+{
+    this->listener.setLimits(this->options.limits);
+    this->listener.setMostSessions(this->options.mostSessions);
+}
+
+void RequestDesk::tend()
+{
+    this->listener.tend();
+    this->connections.tend();
+    this->parts.metrics->openSessions = this->listener.sessions();
+    this->parts.metrics->sessionsRefused = this->listener.refusedSessions();
+}
+
+void RequestDesk::requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest message)
+{
+    const CallerWords words = this->parts.dialect->readCaller(message);
+    const RequestNumber number = ++this->last;
+    RequestArrived event;
+    event.request = number;
+    event.host = valueOf(message, "Host");
+    event.method = std::string(message.method_string());
+    event.path = std::string(message.target());
+    event.requestId = words.requestId;
+    event.timeLeft = words.timeLeft;
+    event.bodyBytes = message.body().size();
+    Request& request = this->requests[number];
+    request.session = session;
+    request.message = std::move(message);
+    request.requestId = words.requestId;
+    request.arrivedAt = this->parts.clock->now();
+    this->bySession[session->number()] = number;
+    this->parts.metrics->openRequests = this->requests.size();
+    if (words.isReadable)
+        return this->parts.sink->post(event);
+    this->parts.sink->post(RefusedEarly{ .reason = RefusalReason::BadRequest });
+    this->execute(RefuseRequest{ .request = number,
+        .outcome = RefusedOutcome::NotRun,
+        .reason = RefusalReason::BadRequest,
+        .comeBackAfter = UsualComeBack });
+}
+
+void RequestDesk::requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem)
+{
+    this->parts.sink->post(RefusedEarly{ .reason = reasonOf(problem) });
+    session->answer(HttpResponse(statusOf(problem), HttpVersion));
+}
+
+void RequestDesk::callerGone(const std::shared_ptr<HttpSession>& session)
+{
+    const auto found = this->bySession.find(session->number());
+    if (found == this->bySession.end())
+        return;
+    const RequestNumber number = found->second;
+    this->bySession.erase(found);
+    // The decisions cancel what is under way first.
+    this->parts.sink->post(CallerGone{ .request = number });
+    this->requests.erase(number);
+    this->parts.metrics->openRequests = this->requests.size();
+}
+
+HttpRequest RequestDesk::forwarded(const Request& request, const SendAttempt& action) const
+{
+    HttpRequest message = request.message;
+    removeConnectionFields(message);
+    message.version(HttpVersion);
+    this->parts.dialect->writeAttempt(
+        message, { .backendServer = action.backendServer, .timeLeft = action.timeLeft });
+    return message;
+}
+
+void RequestDesk::execute(const SendAttempt& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    Request& request = found->second;
+    HttpExchange::Options exchange;
+    exchange.address = action.address;
+    exchange.request = encode(this->forwarded(request, action));
+    exchange.isHead = request.message.method() == http::verb::head;
+    exchange.connectTimeout = this->options.connectTimeout;
+    exchange.isOwnAnswer = [dialect = this->parts.dialect, id = request.requestId](
+                               const HttpResponse& response) { return dialect->isAnswerTo(response, id); };
+    const RequestNumber number = action.request;
+    const AttemptNumber attempt = action.attempt;
+    Attempt& started = request.attempts[attempt];
+    started.backendServer = action.backendServer;
+    started.sentAt = this->parts.clock->now();
+    started.exchange = std::make_shared<HttpExchange>(*this->context, std::move(exchange),
+        [this, number, attempt](HttpExchangeEnd end) { this->attemptEnded(number, attempt, std::move(end)); });
+    const Milliseconds longestIdle = action.mayRepeat ? Never : this->options.longestIdleRunOnce;
+    auto kept = this->connections.take(action.backendServer, longestIdle);
+    ++(kept ? this->parts.metrics->connectionsReused : this->parts.metrics->connectionsOpened);
+    started.exchange->start(std::move(kept));
+}
+
+AttemptEnd RequestDesk::endOf(
+    const HttpExchangeEnd& end, const std::string& backendServer) const
+{
+    if (end.response)
+        return this->parts.dialect->readAnswer(*end.response, backendServer);
+    AttemptEnd failed;
+    const bool isNotSent = end.result == HttpExchangeResult::NotSent;
+    failed.result = isNotSent ? AttemptResult::NotSent : AttemptResult::Broken;
+    if (end.result == HttpExchangeResult::TimedOut)
+        failed.result = AttemptResult::TimedOut;
+    return failed;
+}
+
+void RequestDesk::attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end)
+{
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end())
+        return;
+    Attempt& ended = found->second.attempts[attempt];
+    const AttemptEnd result = this->endOf(end, ended.backendServer);
+    this->keep(ended.backendServer, end);
+    ended.response = std::move(end.response);
+    ended.exchange.reset();
+    const Milliseconds took = this->parts.clock->now() - ended.sentAt;
+    found->second.atBackendServer = took;
+    this->parts.metrics->atBackendServer.add(took);
+    this->parts.sink->post(AttemptEnded{ .request = number, .attempt = attempt, .end = result });
+}
+
+void RequestDesk::keep(const std::string& backendServer, HttpExchangeEnd& end)
+{
+    if (end.connection)
+        this->connections.give(backendServer, std::move(end.connection));
+}
+
+void RequestDesk::execute(const CancelAttempt& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    const auto attempt = found->second.attempts.find(action.attempt);
+    if (attempt == found->second.attempts.end() || !attempt->second.exchange)
+        return;
+    attempt->second.exchange->cancel();
+    attempt->second.exchange.reset();
+}
+
+void RequestDesk::execute(const PassAnswer& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    std::optional<HttpResponse> response = std::move(found->second.attempts[action.attempt].response);
+    if (!response)
+        return;
+    removeConnectionFields(*response);
+    this->parts.dialect->writeAnswer(*response);
+    this->parts.metrics->answered.add(this->parts.clock->now() - found->second.arrivedAt);
+    this->finish(action.request, std::move(*response));
+}
+
+void RequestDesk::execute(const RefuseRequest& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    this->parts.metrics->refused.add(this->parts.clock->now() - found->second.arrivedAt);
+    this->finish(action.request, this->parts.dialect->refusal(action, found->second.requestId));
+}
+
+void RequestDesk::finish(RequestNumber number, HttpResponse response)
+{
+    const auto found = this->requests.find(number);
+    const auto session = found->second.session.lock();
+    const Milliseconds total = this->parts.clock->now() - found->second.arrivedAt;
+    this->parts.metrics->added.add(total - std::min(total, found->second.atBackendServer));
+    for (auto& [attempt, item] : found->second.attempts) {
+        if (item.exchange)
+            item.exchange->cancel();
+    }
+    this->requests.erase(found);
+    this->parts.metrics->openRequests = this->requests.size();
+    if (!session)
+        return;
+    this->bySession.erase(session->number());
+    session->answer(std::move(response));
+}
+
+void RequestDesk::execute(const SendProbe& action)
+{
+    auto kept = this->connections.take(action.probe.backendServer, Never);
+    ++(kept ? this->parts.metrics->connectionsReused : this->parts.metrics->connectionsOpened);
+    this->probe(action.probe, std::move(kept));
+}
+
+void RequestDesk::probe(const Probe& probe, std::shared_ptr<HttpConnection> kept)
+{
+    HttpRequest message(http::verb::get, probe.path, HttpVersion);
+    message.set(http::field::host, probe.address.text());
+    this->parts.dialect->writeProbe(message, probe.backendServer);
+    HttpExchange::Options options;
+    options.address = probe.address;
+    options.request = encode(std::move(message));
+    options.connectTimeout = this->options.connectTimeout;
+    options.timeout = probe.timeout;
+    const bool wasKept = kept != nullptr;
+    const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
+        [this, probe, wasKept](HttpExchangeEnd end) { this->probeEnded(probe, wasKept, std::move(end)); });
+    exchange->start(std::move(kept));
+}
+
+void RequestDesk::probeEnded(const Probe& probe, bool wasKept, HttpExchangeEnd end)
+{
+    const bool wasClosed = end.result == HttpExchangeResult::Broken || end.result == HttpExchangeResult::NotSent;
+    // The server may have closed the idle connection just then.
+    if (wasKept && wasClosed)
+        return this->probe(probe, nullptr);
+    ProbeEnd ended;
+    if (end.response)
+        ended = this->parts.dialect->readProbe(*end.response, probe.backendServer);
+    this->keep(probe.backendServer, end);
+    this->parts.sink->post(ProbeEnded{ .probe = probe.number, .end = ended });
+}
+
+void RequestDesk::execute(const CloseConnections& action)
+{
+    this->connections.closeAll(action.backendServer);
+}
+
+void RequestDesk::execute(const SetCallerLimits& action)
+{
+    this->listener.setLimits({ .headerBytes = action.limits.headerBytes,
+        .bodyBytes = action.limits.bodyBytes,
+        .headerTimeout = action.limits.headerTimeout,
+        .idleTimeout = action.limits.idleTimeout });
+}
+
+}
--- /dev/null
+++ b/Source/Traffic/RequestDesk.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Http/HttpExchange.h"
+#include "Http/HttpListener.h"
+#include "Http/HttpConnectionPool.h"
+#include "Metrics/TrafficMetrics.h"
+#include "Node/Actions.h"
+#include "Node/EventSink.h"
+#include "Traffic/TrafficDialect.h"
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <unordered_map>
+
+namespace burlreach {
+
+/**
+ * Carries requests between callers, the decisions and backend servers, on the
+ * thread of traffic. Requests and answers are passed on whole.
+ */
+class RequestDesk final : private HttpSessionHandler {
+public:
+    struct Options {
+        NetworkAddress address;
+        std::size_t mostSessions = 4000;
+        HttpSessionLimits limits; // until a configuration names others
+        Milliseconds connectTimeout{ 250 };
+        Milliseconds longestIdleRunOnce{ 1000 }; // of a connection that a run-once request may take
+    };
+
+    struct Parts {
+        const TrafficDialect* dialect = nullptr;
+        const Clock* clock = nullptr;
+        EventSink* sink = nullptr;
+        TrafficMetrics* metrics = nullptr;
+    };
+
+    RequestDesk(asio::io_context& context, Options options, Parts parts);
+
+    std::error_code start() { return this->listener.listen(this->options.address); }
+    HttpListener& sessions() { return this->listener; }
+    void tend();
+
+    void execute(const SendAttempt& action);
+    void execute(const CancelAttempt& action);
+    void execute(const PassAnswer& action);
+    void execute(const RefuseRequest& action);
+    void execute(const SendProbe& action);
+    void execute(const CloseConnections& action);
+    void execute(const SetCallerLimits& action);
+
+    std::size_t openRequests() const { return this->requests.size(); }
+
+private:
+    /** An attempt under way, or its answer. */
+    struct Attempt {
+        std::shared_ptr<HttpExchange> exchange;
+        std::string backendServer;
+        Milliseconds sentAt;
+        std::optional<HttpResponse> response;
+    };
+
+    /** A request whose caller waits. */
+    struct Request {
+        std::weak_ptr<HttpSession> session;
+        HttpRequest message;
+        std::string requestId;
+        Milliseconds arrivedAt;
+        Milliseconds atBackendServer; // of the attempt that answered
+        std::map<AttemptNumber, Attempt> attempts;
+    };
+
+    void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) override;
+    void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) override;
+    void callerGone(const std::shared_ptr<HttpSession>& session) override;
+
+    HttpRequest forwarded(const Request& request, const SendAttempt& action) const;
+    void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
+    AttemptEnd endOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
+    void probeEnded(const Probe& probe, bool wasKept, HttpExchangeEnd end);
+    void probe(const Probe& probe, std::shared_ptr<HttpConnection> kept);
+    void keep(const std::string& backendServer, HttpExchangeEnd& end);
+    void finish(RequestNumber number, HttpResponse response);
+
+    asio::io_context* context;
+    Options options;
+    Parts parts;
+    HttpListener listener;
+    HttpConnectionPool connections;
+    std::unordered_map<RequestNumber, Request> requests;
+    std::unordered_map<std::uint64_t, RequestNumber> bySession;
+    RequestNumber last = 0;
+};
+
+}
--- a/Tests/RunAllTests.cc
+++ b/Tests/RunAllTests.cc
@@ -32,7 +32,6 @@
     (void)google::protobuf::Type::descriptor();
     (void)google::protobuf::Type().DebugString();
     useOnce<burlreach::peers::PeerMessage>();
-    useOnce<burlreach::peers::Ownership>();
     useOnce<burlreach::v1::ChangeRequest>();
     useOnce<burlreach::v1::Configuration>();
     useOnce<burlreach::v1::ShowCountersAnswer>();
--- /dev/null
+++ b/Tests/Store/StoreViewTest.cpp
@@ -0,0 +1,107 @@
+#include "Store/StoreView.h"
+
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+StoreItem put(const char* key, const char* value, StoreRevision revision)
+{
+    return { .key = key, .value = value, .revision = revision, .removed = false };
+}
+
+StoreItem removal(const char* key, StoreRevision revision)
+{
+    return { .key = key, .value = {}, .revision = revision, .removed = true };
+}
+
+/** Two changes of one key, in the order in which they are heard. */
+struct Case {
+    const char* name;
+    StoreItem first;
+    StoreItem second;
+    const char* value; // afterwards; null: the key is absent
+};
+
+const std::vector<Case> Cases{
+    { "newer last", put("a", "old", 3), put("a", "new", 5), "new" },
+    { "older last", put("a", "new", 5), put("a", "old", 3), "new" },
+    { "the same twice", put("a", "new", 5), put("a", "new", 5), "new" },
+    { "removed", put("a", "old", 3), removal("a", 5), nullptr },
+    { "an older write after the removal", removal("a", 5), put("a", "old", 3), nullptr },
+    { "an older removal", put("a", "new", 5), removal("a", 3), "new" },
+    { "written again after the removal", removal("a", 3), put("a", "new", 5), "new" },
+};
+
+}
+
+TEST_GROUP(StoreView)
+{
+    StoreView view;
+
+    const char* valueOf(const char* key)
+    {
+        const StoreItem* item = this->view.find(key);
+        return item ? item->value.c_str() : nullptr;
+    }
+};
+
+TEST(StoreView, TheNewestRevisionWinsInWhateverOrder)
+{
+    for (const Case& item : Cases) {
+        StoreView each;
+        each.applyChanges(std::vector{ item.first }, 5);
+        each.applyChanges(std::vector{ item.second }, 5);
+        const StoreItem* found = each.find("a");
+        if (item.value)
+            STRCMP_EQUAL_TEXT(item.value, found ? found->value.c_str() : "absent", item.name);
+        else
+            CHECK_TEXT(!found, item.name);
+        LONGS_EQUAL(5, each.revision());
+    }
+}
+
+TEST(StoreView, TellsOnlyNews)
+{
+    LONGS_EQUAL(1, this->view.applyChanges(std::vector{ put("a", "x", 3) }, 3).size());
+    LONGS_EQUAL(0, this->view.applyChanges(std::vector{ put("a", "x", 3) }, 3).size());
+    LONGS_EQUAL(0, this->view.applyChanges(std::vector{ removal("never", 4) }, 4).size());
+    LONGS_EQUAL(1, this->view.applyChanges(std::vector{ removal("a", 5) }, 5).size());
+}
+
+TEST(StoreView, AReadingRemovesWhatIsMissingUnlessItIsNewer)
+{
+    this->view.applyChanges(std::vector{ put("old", "x", 3), put("newer", "y", 9) }, 9);
+    const auto news = this->view.replaceAll(std::vector{ put("other", "z", 4) }, 7);
+    LONGS_EQUAL(2, news.size());
+    CHECK(!this->valueOf("old"));
+    STRCMP_EQUAL("y", this->valueOf("newer"));
+    STRCMP_EQUAL("z", this->valueOf("other"));
+    LONGS_EQUAL_TEXT(9, this->view.revision(), "the revision never falls");
+}
+
+TEST(StoreView, GivesChangesSinceARevisionOrNothing)
+{
+    this->view.replaceAll(std::vector{ put("a", "x", 3), put("b", "y", 4) }, 5);
+    CHECK_TEXT(!this->view.changesSince(4), "what came and went before the reading is not known");
+    this->view.applyChanges(std::vector{ put("c", "z", 6), removal("a", 7) }, 7);
+    const auto changes = this->view.changesSince(5);
+    CHECK(changes.has_value());
+    LONGS_EQUAL(2, changes->size());
+    LONGS_EQUAL(0, this->view.changesSince(7)->size());
+}
+
+TEST(StoreView, AnInstanceThatFollowsTheChangesHasTheSameView)
+{
+    StoreView follower;
+    this->view.replaceAll(std::vector{ put("a", "x", 3), put("b", "y", 4) }, 5);
+    follower.replaceAll(this->view.all(), this->view.revision());
+    this->view.applyChanges(std::vector{ removal("a", 6), put("b", "w", 8) }, 8);
+    follower.applyChanges(*this->view.changesSince(follower.revision()), this->view.revision());
+    CHECK(follower.all() == this->view.all());
+    LONGS_EQUAL(8, follower.revision());
+}
--- a/Utilities/CMake/BurlreachLibraries.cmake
+++ b/Utilities/CMake/BurlreachLibraries.cmake
@@ -3,13 +3,15 @@
 find_package(Protobuf REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(CLI11 REQUIRED)
-find_package(benchmark REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS log log_setup thread)
 
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+if(BURLREACH_TESTS)
+    find_package(benchmark REQUIRED)
+    pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+endif()
 
 # The flags of the library's package decide the layout of its classes.
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
