Take the probe budget from the settings

Change: /probes/perSecond in the settings, from the deployment's own bound; operators' probe budget of a service is a share of it.

Ruled out: the time that the figures take (2.6 ms waited in the mean).

--- a/Source/Configuration/OwnFactTranslator.cpp
+++ b/Source/Configuration/OwnFactTranslator.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr const char* OwnProbePath = "/burlreach/load";
-constexpr double UsualProbeMilliseconds = 6; // slot time of a probe, to turn a budget into a rate
+constexpr double UsualProbeBudget = 180; // milliseconds a second: 30 probes of 6 ms
 constexpr double Hundred = 100;
 constexpr std::uint32_t RankFirst = 0;
 constexpr std::uint32_t RankCanWait = 1;
@@ -73,7 +73,7 @@
     if (limits.retry_percent())
         description.retryShare = limits.retry_percent() / Hundred;
     if (limits.probe_budget_milliseconds())
-        description.probesPerSecond = limits.probe_budget_milliseconds() / UsualProbeMilliseconds;
+        description.probeShare = std::min(1.0, limits.probe_budget_milliseconds() / UsualProbeBudget);
     return description;
 }
 
--- a/Source/Configuration/RoutingConfiguration.h
+++ b/Source/Configuration/RoutingConfiguration.h
@@ -42,7 +42,7 @@
     std::size_t connectionsPerBackendServer = 200; // summed over all instances
     std::size_t queueLength = 200; // requests waiting at one instance
     double retryShare = 1; // of the fleet's share of retries; less for a service that wants fewer
-    double probesPerSecond = 20; // of one backend server, all instances together
+    double probeShare = 1; // of the probes that the settings allow
 };
 
 /** What callers may send, and how long they may take. */
--- a/Source/Measurement/ProbeDesk.cpp
+++ b/Source/Measurement/ProbeDesk.cpp
@@ -16,10 +16,10 @@
 {
 }
 
-bool ProbeDesk::takeAllowance(const std::string& backendServer, double fleetPerSecond, Milliseconds now)
+bool ProbeDesk::takeAllowance(const std::string& backendServer, double share, Milliseconds now)
 {
     const auto members = static_cast<double>(std::max(this->instances, FewestInstances));
-    const double perSecond = fleetPerSecond * this->options.budgetUsed / members;
+    const double perSecond = this->options.fleetPerSecond * share * this->options.budgetUsed / members;
     Allowance& allowance = this->allowances[backendServer];
     if (allowance.filledAt == LongAgo)
         allowance = { .tokens = std::min(1.0, perSecond), .filledAt = now };
@@ -33,9 +33,9 @@
 }
 
 std::optional<Probe> ProbeDesk::start(const std::shared_ptr<BackendServerState>& server, const std::string& path,
-    double fleetPerSecond, Milliseconds now)
+    double share, Milliseconds now)
 {
-    if (path.empty() || this->isUnderWay(server->id()) || !this->takeAllowance(server->id(), fleetPerSecond, now))
+    if (path.empty() || this->isUnderWay(server->id()) || !this->takeAllowance(server->id(), share, now))
         return std::nullopt;
     const ProbeNumber number = ++this->last;
     this->underWay[server->id()] = number;
--- a/Source/Measurement/ProbeDesk.h
+++ b/Source/Measurement/ProbeDesk.h
@@ -44,6 +44,7 @@
 public:
     struct Options {
         Milliseconds timeout{ 250 };
+        double fleetPerSecond = 30; // of one backend server, all instances together
         double budgetUsed = 0.6; // of the fleet's budget; the rest covers members that are not known yet
         double burst = 3;
     };
@@ -52,9 +53,9 @@
 
     void setInstances(std::size_t instances) { this->instances = instances; }
 
-    /** The probe to send, or nothing when one is under way or the budget is spent. */
+    /** The probe to send, within a share of the budget, or nothing when one is under way or the budget is spent. */
     std::optional<Probe> start(
-        const std::shared_ptr<BackendServerState>& server, const std::string& path, double fleetPerSecond, Milliseconds now);
+        const std::shared_ptr<BackendServerState>& server, const std::string& path, double share, Milliseconds now);
     bool isUnderWay(const std::string& backendServer) const { return this->underWay.contains(backendServer); }
     /** The server that the probe asked; null when it was not sent from here. */
     std::shared_ptr<BackendServerState> ended(ProbeNumber number);
@@ -66,7 +67,7 @@
         Milliseconds filledAt = LongAgo;
     };
 
-    bool takeAllowance(const std::string& backendServer, double fleetPerSecond, Milliseconds now);
+    bool takeAllowance(const std::string& backendServer, double share, Milliseconds now);
 
     Options options;
     std::size_t instances = 1;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -89,7 +89,7 @@
               .signs = &this->signs,
               .random = &this->random,
               .counters = &this->decisionCounters })
-    , probes({})
+    , probes({ .fleetPerSecond = givenOptions.probesPerSecond })
     , flow(flowOf(givenOptions),
           { .services = &this->services,
               .probes = &this->probes,
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -37,6 +37,7 @@
         std::uint64_t seed = 0;
         std::vector<NetworkAddress> seeds; // instances to begin with
         RetryLimits retries;
+        double probesPerSecond = 30; // of one backend server, all instances together
         StoreReader::Options store; // the prefix comes from the translator
         std::string changeKey; // of the document that operators' calls change; empty: they may not
         std::shared_ptr<const FactTranslator> translator; // never null
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -120,7 +120,7 @@
         this->contextOf(request, now), *this->parts.random);
     for (const auto& server : worth) {
         auto probe = this->parts.probes->start(
-            server, service.description.probePath, service.description.probesPerSecond, now);
+            server, service.description.probePath, service.description.probeShare, now);
         if (probe) {
             this->parts.counters->add(DecisionCount::ProbesSent);
             actions.emplace_back(SendProbe{ .probe = std::move(*probe) });
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -39,6 +39,7 @@
     options.retries = { .share = settings.retryShare,
         .slack = static_cast<double>(settings.retrySlack),
         .window = settings.retryWindow };
+    options.probesPerSecond = static_cast<double>(settings.probesPerSecond);
     options.changeKey = dialect.changeKey;
     options.translator = dialect.facts;
     return options;
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -47,6 +47,7 @@
     double retryShare = 0.1;
     std::size_t retrySlack = 0;
     Milliseconds retryWindow{ 10000 };
+    std::size_t probesPerSecond = 30; // of one backend server, all instances together
 
     LogFormat logFormat = LogFormat::Text;
     LogLevel logLevel = LogLevel::Info;
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -19,6 +19,7 @@
 constexpr NumberRange LeadRange{ .lowest = 0, .highest = 60000 };
 constexpr NumberRange SlackRange{ .lowest = 0, .highest = 1000000 };
 constexpr NumberRange WindowRange{ .lowest = 1000, .highest = 600000 };
+constexpr NumberRange ProbeRange{ .lowest = 0, .highest = 10000 };
 constexpr double HighestRetryShare = 1;
 
 constexpr std::array<std::string_view, 2> LogFormats{ "text", "json" };
@@ -71,6 +72,12 @@
     section.finish();
 }
 
+void readProbes(SettingsSection section, Settings& settings)
+{
+    section.optionalSize("perSecond", ProbeRange, settings.probesPerSecond);
+    section.finish();
+}
+
 void readLog(SettingsSection section, Settings& settings)
 {
     const auto format = section.optionalChoice("format", LogFormats, static_cast<std::size_t>(settings.logFormat));
@@ -112,6 +119,7 @@
     readSessions(root.section("sessions"), result.settings);
     readStop(root.section("stop"), result.settings);
     readRetries(root.section("retries"), result.settings);
+    readProbes(root.section("probes"), result.settings);
     readLog(root.section("log"), result.settings);
     root.finish();
     checkContradictions(result.settings, result.findings);
