Leave a server's last slots free where they slow it down

Change: CrowdingEstimate compares, for each service, the times of requests sent to free and to full servers, apart from the slowness that servers tell. Where the last slots cost more than they give, they stay free and requests wait here.

Ruled out: too few servers (60 % of the slots' time was asked for), hedges (trial without: no difference).

--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -261,7 +261,8 @@
     RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions)
 {
     BackendServerState& server = *flight.server;
-    server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now);
+    request.service->pool.learn(
+        server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now));
     if (isProvedNotRun(end.result)) {
         --request.history.mayHaveRun;
         ++request.history.provedNotRun;
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -14,8 +14,16 @@
 /** What was learned of a server that nobody asks any more fades in about this time. */
 constexpr Milliseconds Forgiven{ 3000 };
 constexpr double HighestSlowness = 20;
+/** Younger figures describe what an attempt met. */
+constexpr Milliseconds FreshFigures{ 30 };
 constexpr double UsualPercent = 100;
 
+/** What the server said of the slowness of the moment. */
+double toldFactor(const AttemptEnd& end)
+{
+    return end.load ? std::max(1.0, end.load->workPercent / UsualPercent) : 1;
+}
+
 double kept(Milliseconds since, Milliseconds now)
 {
     return std::exp(-std::max(0.0, (now - since).count) / Forgiven.count);
@@ -47,23 +55,27 @@
 
 void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
 {
-    const double expected = static_cast<double>(this->inFlight()) + this->lastReport.others + 1;
+    const double use = (static_cast<double>(this->inFlight()) + this->lastReport.others + 1) / this->slots();
+    const bool isFresh = now - this->lastReport.at <= FreshFigures;
     this->flights.push_back(
-        { .attempt = attempt, .sentAt = now, .crowd = std::max(1.0, expected / this->slots()) });
+        { .attempt = attempt, .sentAt = now, .crowd = std::max(1.0, use), .use = isFresh ? use : 0 });
 }
 
-void BackendServerState::ended(
+EndedFlight BackendServerState::ended(
     AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now)
 {
     const auto flight = std::find_if(
         this->flights.begin(), this->flights.end(), [attempt](const Flight& item) { return item.attempt == attempt; });
     if (flight == this->flights.end())
-        return;
+        return {};
     const Flight ended = *flight;
     this->flights.erase(flight);
     if (end.load)
         this->reported(*end.load, now);
     this->learn(end, ended, expected, now);
+    if (end.result != AttemptResult::Answered || expected.count <= 0)
+        return {};
+    return { .time = (now - ended.sentAt) / expected / toldFactor(end), .use = ended.use };
 }
 
 void BackendServerState::learn(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now)
@@ -99,8 +111,7 @@
     if (expected.count <= 0)
         return;
     // What the server says of the moment is not a property of its own.
-    const double told = end.load ? std::max<std::uint32_t>(end.load->workPercent, 1) / UsualPercent : 1;
-    const double sample = (now - flight.sentAt) / expected / flight.crowd / std::max(1.0, told);
+    const double sample = (now - flight.sentAt) / expected / flight.crowd / toldFactor(end);
     const double before = this->slowness(now);
     this->slownessEstimate = std::min(HighestSlowness, before + (sample - before) * SampleShare);
     this->slownessAt = now;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -18,6 +18,12 @@
     Milliseconds at = LongAgo;
 };
 
+/** What an ended attempt tells of its service. */
+struct EndedFlight {
+    double time = 0; // in expected times, apart from the slowness that the server told; 0: not known
+    double use = 0; // of the server's slots when it was sent; 0: not known
+};
+
 /** What this instance knows of one life of a backend server. */
 class BackendServerState {
 public:
@@ -33,7 +39,7 @@
      * Ends an attempt and learns from it. The expected time is that of such a
      * request at a usual server; zero when it is not known.
      */
-    void ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now);
+    EndedFlight ended(AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now);
     void reported(const LoadFigures& figures, Milliseconds now);
     /** A probe found nobody at the address, or heard nothing. */
     void probeFailed();
@@ -74,6 +80,7 @@
         AttemptNumber attempt = 0;
         Milliseconds sentAt;
         double crowd = 1; // requests for each slot when it was sent, at least 1
+        double use = 0; // as fresh figures told it; 0: there were none
     };
 
     void learn(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now);
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -69,7 +69,15 @@
         return true;
     if (server.isResting(now) || (server.isOnTrial() && server.inFlight() > 0))
         return false;
-    return requests < server.slots() * (1 + this->options.waitingPerSlot);
+    const double useful = this->crowdingEstimate.usefulSlots(server.slots());
+    const bool usesAll = useful >= server.slots();
+    return requests < (usesAll ? useful * (1 + this->options.waitingPerSlot) : useful);
+}
+
+void ServicePool::learn(const EndedFlight& flight)
+{
+    if (flight.time > 0 && flight.use > 0)
+        this->crowdingEstimate.add(flight.time, flight.use);
 }
 
 Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Random.h"
+#include "Routing/CrowdingEstimate.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/RoutingPolicy.h"
 
@@ -51,6 +52,9 @@
     /** Those worth asking for their load before a choice, the best by what is known first. */
     std::vector<std::shared_ptr<BackendServerState>> worthProbing(
         std::size_t most, Milliseconds freshFor, const RoutingContext& context, Random& random) const;
+    /** An attempt at one of its backend servers has ended. */
+    void learn(const EndedFlight& flight);
+    const CrowdingEstimate& crowding() const { return this->crowdingEstimate; }
     /** Ejects the backend server when it has failed too often; true if so. */
     bool checkOutlier(BackendServerState& server, Milliseconds now);
 
@@ -68,6 +72,7 @@
     Options options;
     std::unique_ptr<RoutingPolicy> policy;
     OutlierDetector outliers;
+    CrowdingEstimate crowdingEstimate;
     std::size_t connectionShare = 16;
     std::vector<std::shared_ptr<BackendServerState>> list;
 };
