Prove the own form with real processes again

Cause: the stand-ins and Tests/Processes.sh spoke the platform client, the instance list and the claims that are gone.

Change: StoreStandIn speaks burlreach's own store calls, with faults (down, slow, limited, answers lost, history forgotten); the backend server's stand-in tells all four load figures and refuses requests meant for another life. New checks: a caller that leaves is noticed and its request dropped, a late request is answered at its deadline, SIGHUP and a changed file reload, every log line is a JSON object, an unknown host gets 404. Gone with its contract: a repeat of an id at another balancer is told unknown (an id belongs to one connection).

Found by it: an operator who read the revision right after an accepted change could see the one before and then met a conflict; the instance that wrote now acts on its own write at once. Signs of leaving in answers were not read.

--- a/Source/Configuration/ChangeCoordinator.cpp
+++ b/Source/Configuration/ChangeCoordinator.cpp
@@ -151,13 +151,19 @@
     request.value = encodeConfiguration(configuration);
     request.expected = expected;
     this->commit->writtenRevision = configuration.revision();
+    this->commit->writtenValue = request.value;
     this->ask(std::move(request), Phase::Writing);
 }
 
 void ChangeCoordinator::writeAnswered(const StoreAnswer& answer, Milliseconds now)
 {
-    if (answer.status == StoreStatus::Done)
+    if (answer.status == StoreStatus::Done) {
+        this->written = StoreItem{ .key = this->options.key,
+            .value = std::move(this->commit->writtenValue),
+            .revision = answer.at,
+            .removed = false };
         return this->accept(this->commit->writtenRevision);
+    }
     if (answer.status == StoreStatus::Unknown)
         this->commit->writeUncertain = true;
     this->pause(now);
--- a/Source/Configuration/ChangeCoordinator.h
+++ b/Source/Configuration/ChangeCoordinator.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace burlreach {
 
@@ -38,6 +39,8 @@
     void start(OperatorCallNumber call, const v1::ChangeRequest& request, Milliseconds now);
     /** True when the answer belonged to a call of this object. */
     bool answered(const StoreAnswer& answer, Milliseconds now);
+    /** What was written and acknowledged since the last call; this instance need not wait to hear of it. */
+    std::optional<StoreItem> takeWritten() { return std::exchange(this->written, std::nullopt); }
     /** The next call, if it is time for one. */
     std::optional<StoreRequest> next(Milliseconds now);
     Milliseconds nextDue() const;
@@ -59,6 +62,7 @@
         StoreCallNumber storeCall = 0;
         std::optional<StoreRequest> toSend;
         std::uint32_t writtenRevision = 0;
+        std::string writtenValue;
         bool writeUncertain = false; // a write without an answer may still take effect
     };
 
@@ -80,6 +84,7 @@
     Backoff backoff;
     std::optional<Commit> commit;
     std::deque<Commit> waiting;
+    std::optional<StoreItem> written;
 };
 
 }
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -42,6 +42,7 @@
 struct AttemptEnded {
     RequestNumber request = 0;
     AttemptNumber attempt = 0;
+    std::string backendServer;
     AttemptEnd end;
 };
 
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -127,6 +127,8 @@
 void Node::dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
     this->flow.attemptEnded(event, now, actions);
+    if (event.end.leaving)
+        this->leavingSign(event.backendServer, *event.end.leaving, now, actions);
 }
 
 void Node::dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions)
@@ -170,6 +172,8 @@
     if (!this->changes.answered(event.answer, now) && this->store.answered(event.answer, now, actions)
         && this->store.isWatching())
         this->news.spread(now, actions);
+    if (const auto written = this->changes.takeWritten())
+        this->store.takeWritten(*written, now, actions);
     this->askStore(now, actions);
 }
 
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -93,6 +93,13 @@
     return true;
 }
 
+void StoreKeeper::takeWritten(const StoreItem& item, Milliseconds now, Actions& actions)
+{
+    const auto changes = this->storeView.applyChanges(std::span(&item, 1), this->storeView.revision());
+    if (!changes.empty())
+        this->listener->itemsChanged(changes, now, actions);
+}
+
 void StoreKeeper::takePush(const peers::Push& push, Milliseconds now, Actions& actions)
 {
     if (push.store_revision() <= this->storeView.revision())
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -35,6 +35,8 @@
 
     /** False when changes in between are missing here: they must be pulled. */
     bool takeNews(const peers::News& news, Milliseconds now, Actions& actions);
+    /** An item that was just written from here; other changes up to it may still be unknown. */
+    void takeWritten(const StoreItem& item, Milliseconds now, Actions& actions);
     void takePush(const peers::Push& push, Milliseconds now, Actions& actions);
     peers::Push pushFor(StoreRevision revision) const;
     /** The changes since a revision, for news; the base is 0 when they are no longer known. */
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -154,14 +154,18 @@
     if (found == this->requests.end())
         return;
     Attempt& ended = found->second.attempts[attempt];
-    const AttemptEnd result = this->endOf(end, ended.backendServer);
+    AttemptEnded event;
+    event.request = number;
+    event.attempt = attempt;
+    event.backendServer = ended.backendServer;
+    event.end = this->endOf(end, ended.backendServer);
     this->keep(ended.backendServer, end);
     ended.response = std::move(end.response);
     ended.exchange.reset();
     const Milliseconds took = this->parts.clock->now() - ended.sentAt;
     found->second.atBackendServer = took;
     this->parts.metrics->atBackendServer.add(took);
-    this->parts.sink->post(AttemptEnded{ .request = number, .attempt = attempt, .end = result });
+    this->parts.sink->post(event);
 }
 
 void RequestDesk::keep(const std::string& backendServer, HttpExchangeEnd& end)
--- a/Tests/Processes.sh
+++ b/Tests/Processes.sh
@@ -5,8 +5,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 build=${1:?the build folder}
-platform_port=28500
-request_ids_kept=60000
+store_port=28500
 # shellcheck source=Utilities/fleet.sh
 source "$here/../Utilities/fleet.sh"
 trap stop_fleet EXIT
@@ -26,7 +25,7 @@
     fi
 }
 
-fault() { put "http://127.0.0.1:$platform_port/control/fault/$1"; }
+fault() { put "http://127.0.0.1:$store_port/control/fault/$1"; }
 backend_fault() { put "http://127.0.0.1:$((18200 + $1))/control/fault/$2"; }
 
 load() { # NAME OPTIONS...: callers, their result in NAME.json
@@ -67,8 +66,7 @@
     done
 }
 
-start_platform
-list_instances 1 2 3
+start_store
 for number in 1 2 3 4; do start_backend_server "$number"; done
 for number in 1 2 3; do start_instance "$number"; done
 until_true 20 ctl create-service --service bookings --host bookings.example --change-id create
@@ -138,6 +136,7 @@
 check "shedding backend server: nothing ran twice" agrees shed
 check "shedding backend server: the others answer all" only_answered shed
 backend_fault 3 leaving
+load before-leaving --sessions 6 --requests 30
 until_true 30 bash -c "'$build/burlreach' ctl --address 127.0.0.1:18103 show-load --service bookings | grep -q leaving"
 sleep 2
 load leaving --sessions 6 --requests 100
@@ -158,11 +157,28 @@
 garbage() { printf 'GET / HTTP/1.1\r\nHost: x\r\n\r\n' | timeout 5 bash -c "cat > /dev/tcp/127.0.0.1/18301"; }
 garbage
 check "garbage from a peer is refused and counted" until_true 10 bash -c "curl -fsS http://127.0.0.1:18101/metrics | grep -E '^burlreach_peer_messages_invalid [1-9]'"
-request_status -H 'Burlreach-Attempt: none' -H 'Burlreach-Request-Id: x' -X POST -d x http://127.0.0.1:18001/bookings > /dev/null
+request_status -H 'Burlreach-Deadline-Milliseconds: soon' -X POST -d x http://127.0.0.1:18001/bookings > /dev/null
 check "a bad header is refused with its reason" grep -q 'Burlreach-Reason: bad_request' "$fleet_dir/headers"
-request_status -X POST -d x -H 'Burlreach-Request-Id: once' http://127.0.0.1:18001/bookings > /dev/null
-request_status -X POST -d x -H 'Burlreach-Request-Id: once' http://127.0.0.1:18002/bookings > /dev/null
-check "a repeat at another balancer is told unknown, with when to come back" bash -c "grep -q 'Burlreach-Outcome: unknown' '$fleet_dir/headers' && grep -q 'Retry-After: ' '$fleet_dir/headers'"
+check "a refusal says when to come back" grep -q 'Retry-After: ' "$fleet_dir/headers"
+check "an unknown host gets 404" [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: nobody.example' http://127.0.0.1:18001/)" = 404 ]
+
+backend_fault 1 frozen; backend_fault 2 frozen; backend_fault 3 frozen; backend_fault 4 frozen
+timeout 0.5 curl -s -X POST -d x -H 'Host: bookings.example' http://127.0.0.1:18001/bookings > /dev/null
+check "a caller that leaves is noticed" until_true 5 bash -c "curl -fsS http://127.0.0.1:18101/metrics | grep -E '^burlreach_decisions\{reason=\"callers_gone\"\} [1-9]'"
+check "and its request is not kept" until_true 5 bash -c "curl -fsS http://127.0.0.1:18101/metrics | grep -qx 'burlreach_open_requests 0'"
+request_status -X POST -d x -H 'Burlreach-Deadline-Milliseconds: 300' http://127.0.0.1:18001/bookings > "$fleet_dir/late"
+check "a late request is answered at its deadline, as unknown" grep -q 'Burlreach-Outcome: unknown' "$fleet_dir/headers"
+for number in 1 2 3 4; do backend_fault "$number" none; done
+
+kill -HUP "${pid_entry_1:?}"
+check "SIGHUP reloads the settings" until_true 5 grep -q '"message":"reloaded","cause":"signal"' "$fleet_dir/entry-1.log"
+sed -i 's/"seeds": \[ /"seeds": [ "127.0.0.1:18304", /' "$fleet_dir/entry-1.json"
+check "and so does a change of the file" until_true 5 grep -q '"message":"reloaded","cause":"change of the file","seeds":4' "$fleet_dir/entry-1.log"
+check "and requests go on" [ "$(request_status -X POST -d x http://127.0.0.1:18001/bookings)" = 200 ]
+check "every log line is a JSON object" python3 -c "
+import json, sys
+lines = [json.loads(line) for line in open('$fleet_dir/entry-1.log')]
+sys.exit(0 if len(lines) > 20 and all('message' in line for line in lines) else 1)"
 
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr int StatusMisdirected = 421;
 constexpr int StatusUnavailable = 503;
 constexpr std::size_t ThreadCount = 300;
 constexpr std::size_t EndlessKeepAlive = 1000000000;
@@ -50,7 +51,10 @@
     void addLoad(httplib::Response& response)
     {
         const std::lock_guard lock(this->mutex);
-        response.set_header("Burlreach-Load", std::to_string(this->running + this->waiting));
+        const std::string percent = this->fault == "slow" ? "1000" : "100";
+        response.set_header("Burlreach-Load",
+            std::to_string(this->running) + "," + std::to_string(this->waiting) + ","
+                + std::to_string(this->options.slots) + "," + percent);
         if (this->fault == "leaving")
             response.set_header("Burlreach-Leaving", "1");
     }
@@ -90,6 +94,11 @@
     void serve(const httplib::Request& request, httplib::Response& response)
     {
         const std::string requestId = request.get_header_value(RequestIdHeader);
+        const std::string meant = request.get_header_value("Burlreach-Backend-Server");
+        if (!meant.empty() && meant.find("/" + this->options.name + "@") == std::string::npos) {
+            response.status = StatusMisdirected;
+            return;
+        }
         if (!this->enter()) {
             response.status = StatusUnavailable;
             response.set_header("Burlreach-Not-Run", "1");
--- a/Tests/StandIns/CallerStandIn.cc
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -92,7 +92,6 @@
         if (!isBooking)
             return client.Get("/search?from=a&to=b", headers);
         headers.emplace("Burlreach-Request-Id", id);
-        headers.emplace("Burlreach-Attempt", "1");
         return client.Post("/bookings", headers, std::string(200, 'x'), "application/json");
     }
 
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -329,7 +329,11 @@
     this->answers[{ instance, action.attempt }] = word.requestId;
     this->answerResults[action.attempt * 100 + instance] = word.end.result;
     this->deliver(
-        instance, life, AttemptEnded{ .request = action.request, .attempt = action.attempt, .end = word.end });
+        instance, life,
+        AttemptEnded{ .request = action.request,
+            .attempt = action.attempt,
+            .backendServer = action.backendServer,
+            .end = word.end });
 }
 
 void VirtualFleet::execute(std::size_t instance, const CancelAttempt& action)
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -5,7 +5,7 @@
 fleet_pids=()
 fleet_dir=$(mktemp -d)
 stand_ins=${build:?}/StandIns
-platform_port=${platform_port:-18500}
+store_port=${store_port:-18500}
 
 start() { # NAME COMMAND...: starts a process whose log is NAME.log
     local name=$1
@@ -36,9 +36,9 @@
 put() { curl -fsS --max-time 5 -X PUT --data-binary "${2:-}" "$1" > /dev/null; }
 ctl() { "$build/burlreach" ctl --address "127.0.0.1:${ctl_port:-18101}" "$@"; }
 
-start_platform() {
-    start platform "$stand_ins/PlatformStandIn" --port "$platform_port"
-    until_true 5 get "http://127.0.0.1:$platform_port/control/calls"
+start_store() {
+    start store "$stand_ins/StoreStandIn" --port "$store_port"
+    until_true 5 get "http://127.0.0.1:$store_port/control/calls"
 }
 
 start_backend_server() { # NUMBER [OPTIONS...]
@@ -57,24 +57,15 @@
         "operators": "127.0.0.1:$((18100 + $1))",
         "peers": "127.0.0.1:$((18300 + $1))"
     },
-    "platform": { "address": "127.0.0.1:$platform_port" },
-    "stop": { "boundMilliseconds": 10000, "readinessLeadMilliseconds": 500 },
-    "fleet": { "requestIdsKeptMilliseconds": ${request_ids_kept:-300000} }
+    "store": { "address": "127.0.0.1:$store_port" },
+    "seeds": [ "127.0.0.1:18301", "127.0.0.1:18302", "127.0.0.1:18303" ],
+    "stop": { "bound": "10s", "readinessLead": "500ms" },
+    "retries": { "share": 0.2, "slack": 64 },
+    "log": { "format": "json" }
 }
 JSON
 }
 
-list_entry() { # NUMBER [STATE]
-    printf '{"Service":{"ID":"entry-%s","Address":"127.0.0.1","Port":%s,"Meta":{"data_centre":"dc-%s","state":"%s"}}}' \
-        "$1" $((18300 + $1)) $(($1 % 3 + 1)) "${2:-live}"
-}
-
-list_instances() { # NUMBERS...: sets the platform's list
-    local entries=() number
-    for number in "$@"; do entries+=("$(list_entry "$number")"); done
-    put "http://127.0.0.1:$platform_port/control/list/burlreach" "[$(IFS=,; echo "${entries[*]}")]"
-}
-
 start_instance() { # NUMBER
     write_settings "$1"
     start "entry-$1" "$build/burlreach" serve --settings "$fleet_dir/entry-$1.json"
