Let large changes be pulled from one watcher; lint

Change: changes above 2 KB are named, not sent, and each instance pulls them from the watcher that it heard first.

--- a/Benchmarks/Bench.cc
+++ b/Benchmarks/Bench.cc
@@ -99,7 +99,8 @@
 {
     constexpr std::size_t sizes[] = { 3, 18, 60, 142 };
     std::vector<FleetCost> costs(std::size(sizes));
-    runInParallel(costs.size(), [&](std::size_t index) { costs[index] = measureFleet(sizes[index], sizes[index] * 2); });
+    runInParallel(
+        costs.size(), [&](std::size_t index) { costs[index] = measureFleet(sizes[index], sizes[index] * 2); });
     json figures;
     for (const FleetCost& cost : costs)
         figures[std::to_string(cost.instances)] = {
--- a/Benchmarks/Contender.cpp
+++ b/Benchmarks/Contender.cpp
@@ -26,22 +26,20 @@
 };
 
 template <typename Policy>
-Contender baseline(std::string name)
+Contender baseline(const std::string& name)
 {
     RequestFlow::Options requests;
     requests.probes = false;
     requests.hedges = false;
-    return { .name = std::move(name), .policies = std::make_shared<Factory<Policy>>(false), .requests = requests };
+    return { .name = name, .policies = std::make_shared<Factory<Policy>>(false), .requests = requests };
 }
 
-Contender own(std::string name, bool probes, bool hedges)
+Contender own(const std::string& name, bool probes, bool hedges)
 {
     RequestFlow::Options requests;
     requests.probes = probes;
     requests.hedges = hedges;
-    return {
-        .name = std::move(name), .policies = std::make_shared<Factory<LoadAwarePolicy>>(true), .requests = requests
-    };
+    return { .name = name, .policies = std::make_shared<Factory<LoadAwarePolicy>>(true), .requests = requests };
 }
 
 }
--- a/Source/Attempts/SlidingCount.cpp
+++ b/Source/Attempts/SlidingCount.cpp
@@ -15,7 +15,8 @@
     const auto current = static_cast<std::int64_t>(std::floor(now / this->bucketLength));
     const std::int64_t steps = std::min<std::int64_t>(current - this->latest, Buckets);
     for (std::int64_t step = 0; step < steps; ++step) {
-        auto& bucket = this->buckets.at(static_cast<std::size_t>((current - step) % static_cast<std::int64_t>(Buckets)));
+        auto& bucket
+            = this->buckets.at(static_cast<std::size_t>((current - step) % static_cast<std::int64_t>(Buckets)));
         this->total -= bucket;
         bucket = 0;
     }
--- a/Source/Configuration/ChangeCoordinator.cpp
+++ b/Source/Configuration/ChangeCoordinator.cpp
@@ -195,8 +195,8 @@
     if (this->commit->writeUncertain)
         return this->finish(refusal(v1::CHANGE_UNKNOWN, 0, "/",
             "the store gave no answer; the change may take effect; ask again with the same change_id"));
-    this->finish(refusal(
-        v1::CHANGE_REFUSED, 0, "/", "the store cannot be reached; nothing was changed; ask again later"));
+    this->finish(
+        refusal(v1::CHANGE_REFUSED, 0, "/", "the store cannot be reached; nothing was changed; ask again later"));
 }
 
 }
--- a/Source/Configuration/OwnFactTranslator.cpp
+++ b/Source/Configuration/OwnFactTranslator.cpp
@@ -54,8 +54,8 @@
     route.repeat = rule.repeat() == v1::MAY_REPEAT ? Repeat::MayRepeat : Repeat::RunOnce;
     route.timeout = rule.deadline_milliseconds() ? Milliseconds{ static_cast<double>(rule.deadline_milliseconds()) }
                                                  : deadlineOf(service);
-    route.targetLatency = rule.target_milliseconds() ? Milliseconds{ static_cast<double>(rule.target_milliseconds()) }
-                                                     : route.timeout;
+    route.targetLatency
+        = rule.target_milliseconds() ? Milliseconds{ static_cast<double>(rule.target_milliseconds()) } : route.timeout;
     route.rank = rule.priority() == v1::CAN_WAIT ? RankCanWait : RankFirst;
     route.services.push_back({ .service = service.name(), .weight = 1 });
     return route;
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -95,9 +95,10 @@
 
 void HttpExchange::read()
 {
-    this->connection->socket.async_read_some(asio::buffer(this->chunk),
-        [self = this->shared_from_this()](
-            const asio::error_code& error, std::size_t size) { self->received(error, size); });
+    this->connection->socket.async_read_some(
+        asio::buffer(this->chunk), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+            self->received(error, size);
+        });
 }
 
 void HttpExchange::received(const asio::error_code& error, std::size_t size)
@@ -155,8 +156,7 @@
 
 bool HttpExchange::mayKeep(const HttpResponse& response) const
 {
-    return this->isWritten && !this->isSkipping && this->input.empty() && response.keep_alive()
-        && !response.need_eof();
+    return this->isWritten && !this->isSkipping && this->input.empty() && response.keep_alive() && !response.need_eof();
 }
 
 void HttpExchange::finish(HttpExchangeResult result, std::optional<HttpResponse> response)
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -5,9 +5,8 @@
 
 namespace burlreach {
 
-HttpListener::HttpListener(asio::io_context& givenContext, HttpSessionHandler& givenHandler, const Clock& givenClock)
-    : context(&givenContext)
-    , acceptor(givenContext)
+HttpListener::HttpListener(asio::io_context& context, HttpSessionHandler& givenHandler, const Clock& givenClock)
+    : acceptor(context)
     , handler(&givenHandler)
     , clock(&givenClock)
 {
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -39,7 +39,6 @@
     void accepted(asio::ip::tcp::socket socket);
     void forgetClosed();
 
-    asio::io_context* context;
     asio::ip::tcp::acceptor acceptor;
     HttpSessionHandler* handler;
     const Clock* clock;
--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -15,8 +15,8 @@
 
 }
 
-HttpSession::HttpSession(asio::ip::tcp::socket givenSocket, std::uint64_t givenNumber,
-    HttpSessionHandler& givenHandler, const Clock& givenClock, const HttpSessionLimits& givenLimits)
+HttpSession::HttpSession(asio::ip::tcp::socket givenSocket, std::uint64_t givenNumber, HttpSessionHandler& givenHandler,
+    const Clock& givenClock, const HttpSessionLimits& givenLimits)
     : socket(std::move(givenSocket))
     , sessionNumber(givenNumber)
     , handler(&givenHandler)
@@ -60,8 +60,8 @@
     if (this->isReading || !this->socket.is_open())
         return;
     this->isReading = true;
-    this->socket.async_read_some(asio::buffer(this->chunk),
-        [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+    this->socket.async_read_some(
+        asio::buffer(this->chunk), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
             self->isReading = false;
             self->received(error, size);
         });
@@ -184,8 +184,8 @@
 {
     if (!this->socket.is_open() || this->state == State::Answering)
         return;
-    const bool isSlow = this->state == State::Reading && !this->parser->is_header_done()
-        && this->requestBegan != Never && now - this->requestBegan > this->limits->headerTimeout;
+    const bool isSlow = this->state == State::Reading && !this->parser->is_header_done() && this->requestBegan != Never
+        && now - this->requestBegan > this->limits->headerTimeout;
     if (isSlow)
         return this->unreadable(HttpRequestProblem::TooSlow);
     if (now - this->lastActive > this->limits->idleTimeout)
--- a/Source/Logging/Logger.cpp
+++ b/Source/Logging/Logger.cpp
@@ -42,8 +42,8 @@
     static void interrupt() { }
 };
 
-using Sink = sinks::asynchronous_sink<sinks::text_ostream_backend,
-    sinks::bounded_fifo_queue<QueuedLines, CountingDrop>>;
+using Sink
+    = sinks::asynchronous_sink<sinks::text_ostream_backend, sinks::bounded_fifo_queue<QueuedLines, CountingDrop>>;
 
 boost::shared_ptr<Sink> theSink;
 
@@ -78,8 +78,8 @@
                 stream << " {" << *fields << '}';
             return;
         }
-        std::string line = "{\"time\":\"" + timeText + "\",\"severity\":\"" + std::string(severityName)
-            + "\",\"instance\":";
+        std::string line
+            = "{\"time\":\"" + timeText + "\",\"severity\":\"" + std::string(severityName) + "\",\"instance\":";
         appendJsonText(line, this->instance);
         line += ",\"part\":";
         appendJsonText(line, prefix.get<std::string>());
--- a/Source/Measurement/ProbeDesk.cpp
+++ b/Source/Measurement/ProbeDesk.cpp
@@ -1,6 +1,7 @@
 #include "Measurement/ProbeDesk.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace burlreach {
 
@@ -12,7 +13,7 @@
 }
 
 ProbeDesk::ProbeDesk(Options givenOptions)
-    : options(givenOptions)
+    : options(std::move(givenOptions))
 {
 }
 
@@ -47,8 +48,8 @@
     return true;
 }
 
-std::optional<Probe> ProbeDesk::start(const std::shared_ptr<BackendServerState>& server, const std::string& path,
-    double share, Milliseconds now)
+std::optional<Probe> ProbeDesk::start(
+    const std::shared_ptr<BackendServerState>& server, const std::string& path, double share, Milliseconds now)
 {
     if (path.empty() || this->isUnderWay(server->id()) || !this->takeAllowance(*server, share, now))
         return std::nullopt;
@@ -67,7 +68,7 @@
     const auto found = this->asked.find(number);
     if (found == this->asked.end())
         return nullptr;
-    const std::shared_ptr<BackendServerState> server = found->second;
+    std::shared_ptr<BackendServerState> server = found->second;
     this->asked.erase(found);
     this->underWay.erase(server->id());
     return server;
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -16,9 +16,8 @@
 
 bool MemberTable::heard(const peers::Member& member, StoreRevision revision, Milliseconds now)
 {
-    const auto found = std::find_if(this->list.begin(), this->list.end(), [&](const KnownMember& known) {
-        return known.member.incarnation().name() == member.incarnation().name();
-    });
+    const auto found = std::find_if(this->list.begin(), this->list.end(),
+        [&](const KnownMember& known) { return known.member.incarnation().name() == member.incarnation().name(); });
     if (found == this->list.end()) {
         this->list.push_back({ .member = member, .revision = revision, .heardAt = now });
         return true;
--- a/Source/Membership/WatchDuty.cpp
+++ b/Source/Membership/WatchDuty.cpp
@@ -80,8 +80,8 @@
 
 std::size_t WatchDuty::activeOthers(Milliseconds now) const
 {
-    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(),
-        [&](const Watcher& watcher) { return this->isActive(watcher, now); }));
+    return static_cast<std::size_t>(std::count_if(
+        this->known.begin(), this->known.end(), [&](const Watcher& watcher) { return this->isActive(watcher, now); }));
 }
 
 std::size_t WatchDuty::activeOthersBelow(Milliseconds now) const
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -52,6 +52,14 @@
     actions.emplace_back(SendToPeer{ .address = address, .message = std::move(message) });
 }
 
+void NewsExchange::answer(const peers::Incarnation& asker, const peers::PeerMessage& message, Actions& actions) const
+{
+    for (const KnownMember& known : this->members.members()) {
+        if (known.member.incarnation().name() == asker.name())
+            this->send(addressOf(known.member), message, actions);
+    }
+}
+
 bool NewsExchange::receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
 {
     if (message.version() != PeerProtocolVersion) {
@@ -68,10 +76,7 @@
     case peers::PeerMessage::kPull: {
         peers::PeerMessage answer;
         *answer.mutable_push() = this->parts.store->pushFor(message.pull().store_revision());
-        for (const KnownMember& known : this->members.members()) {
-            if (known.member.incarnation().name() == message.from().name())
-                this->send(addressOf(known.member), std::move(answer), actions);
-        }
+        this->answer(message.from(), answer, actions);
         break;
     }
     case peers::PeerMessage::kPush:
@@ -80,10 +85,7 @@
     case peers::PeerMessage::kMembersPull: {
         peers::PeerMessage answer;
         *answer.mutable_members_push() = this->knownMembers(now);
-        for (const KnownMember& known : this->members.members()) {
-            if (known.member.incarnation().name() == message.from().name())
-                this->send(addressOf(known.member), std::move(answer), actions);
-        }
+        this->answer(message.from(), answer, actions);
         break;
     }
     case peers::PeerMessage::kMembersPush:
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Base/NetworkAddress.h"
+#include "Membership/ContactBook.h"
 #include "Membership/MemberTable.h"
 #include "Membership/WatchDuty.h"
 #include "Metrics/DecisionCounters.h"
 #include "Node/Actions.h"
 #include "Node/LeavingSigns.h"
 #include "Node/StoreKeeper.h"
-#include "Membership/ContactBook.h"
 
 #include <cstdint>
 #include <map>
@@ -71,6 +71,8 @@
     };
 
     void send(const NetworkAddress& address, peers::PeerMessage message, Actions& actions) const;
+    /** Only an instance that said hello before can be answered. */
+    void answer(const peers::Incarnation& asker, const peers::PeerMessage& message, Actions& actions) const;
     void helloReceived(const peers::Hello& hello, Milliseconds now, Actions& actions);
     void newsReceived(const peers::News& news, Milliseconds now, Actions& actions);
     void relay(const peers::News& news, Actions& actions) const;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -95,8 +95,8 @@
               .probes = &this->probes,
               .random = &this->random,
               .counters = &this->decisionCounters })
-    , changes({ .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls,
-          this->random)
+    , changes(
+          { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
 }
 
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -57,9 +57,9 @@
 
 RoutingContext RequestFlow::contextOf(const RequestState& request, Milliseconds now) const
 {
-    return { .now = now,
-        .dataCentre = this->options.dataCentre,
-        .expected = request.service->expectedTime(*request.route) };
+    return {
+        .now = now, .dataCentre = this->options.dataCentre, .expected = request.service->expectedTime(*request.route)
+    };
 }
 
 void RequestFlow::arrived(const RequestArrived& event, Milliseconds now, Actions& actions)
@@ -82,7 +82,7 @@
         this->enqueue(request, now, actions);
 }
 
-void RequestFlow::refuseUnrouted(const RequestArrived& event, RefusalReason reason, Actions& actions)
+void RequestFlow::refuseUnrouted(const RequestArrived& event, RefusalReason reason, Actions& actions) const
 {
     this->parts.counters->add(reason);
     this->parts.counters->add(DecisionCount::RefusedNotRun);
@@ -116,11 +116,11 @@
 void RequestFlow::askForFigures(RequestState& request, Milliseconds now, Actions& actions)
 {
     const ServiceState& service = *request.service;
-    const auto worth = service.pool.worthProbing(this->options.probedServers, this->options.figuresFreshFor,
-        this->contextOf(request, now), *this->parts.random);
+    const auto worth = service.pool.worthProbing(
+        this->options.probedServers, this->options.figuresFreshFor, this->contextOf(request, now), *this->parts.random);
     for (const auto& server : worth) {
-        auto probe = this->parts.probes->start(
-            server, service.description.probePath, service.description.probeShare, now);
+        auto probe
+            = this->parts.probes->start(server, service.description.probePath, service.description.probeShare, now);
         if (probe) {
             this->parts.counters->add(DecisionCount::ProbesSent);
             actions.emplace_back(SendProbe{ .probe = std::move(*probe) });
@@ -136,8 +136,7 @@
     request.askUntil = now + this->options.longestAsking;
 }
 
-bool RequestFlow::isGoodEnough(
-    const BackendServerState& server, const RequestState& request, Milliseconds now) const
+bool RequestFlow::isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const
 {
     const PoolLoad pool = poolLoadOf({});
     const ExpectedLoad load = expectedLoadOf(server, pool, now);
@@ -182,9 +181,8 @@
         if (found == this->requests.end())
             continue;
         RequestState& request = found->second;
-        Choice choice = service.pool.choose({ .tried = request.tried,
-                                                .onlyUntried = false,
-                                                .mayTry = request.route->repeat == Repeat::MayRepeat },
+        Choice choice = service.pool.choose(
+            { .tried = request.tried, .onlyUntried = false, .mayTry = request.route->repeat == Repeat::MayRepeat },
             this->contextOf(request, now), *this->parts.random);
         if (choice.server) {
             this->send(request, std::move(choice.server), now, actions);
@@ -222,7 +220,7 @@
 }
 
 void RequestFlow::recordSent(
-    const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions)
+    const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions) const
 {
     const LoadReport& report = server.report();
     DecisionRecord record = recordOf(RecordTopic::Request, "attempt_sent", request);
@@ -260,11 +258,10 @@
 }
 
 void RequestFlow::learn(
-    RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions)
+    RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions) const
 {
     BackendServerState& server = *flight.server;
-    request.service->pool.learn(
-        server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now));
+    request.service->pool.learn(server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now));
     if (isProvedNotRun(end.result)) {
         --request.history.mayHaveRun;
         ++request.history.provedNotRun;
@@ -326,9 +323,8 @@
 {
     if (now >= request.deadline || !mayTryAgain(*request.route, request.history, end.result))
         return false;
-    Choice choice = request.service->pool.choose({ .tried = request.tried,
-                                                     .onlyUntried = false,
-                                                     .mayTry = request.route->repeat == Repeat::MayRepeat },
+    Choice choice = request.service->pool.choose(
+        { .tried = request.tried, .onlyUntried = false, .mayTry = request.route->repeat == Repeat::MayRepeat },
         this->contextOf(request, now), *this->parts.random);
     if (!choice.server && choice.reason == NoChoice::NobodyTakes)
         return false;
@@ -354,9 +350,8 @@
     request.hedgeAt = Never;
     if (!mayHedge(*request.route, request.history))
         return;
-    Choice choice = request.service->pool.choose(
-        { .tried = request.tried, .onlyUntried = true, .mayTry = false }, this->contextOf(request, now),
-        *this->parts.random);
+    Choice choice = request.service->pool.choose({ .tried = request.tried, .onlyUntried = true, .mayTry = false },
+        this->contextOf(request, now), *this->parts.random);
     if (!choice.server || !request.service->retryBudget.takeForHedge(now))
         return;
     this->parts.counters->add(RetryReason::Hedge);
@@ -382,7 +377,7 @@
     this->close(request, now, actions);
 }
 
-Milliseconds RequestFlow::comeBackAfter(const Route& route, RefusalReason reason)
+Milliseconds RequestFlow::comeBackAfter(const Route& route, RefusalReason reason) const
 {
     if (reason == RefusalReason::NoBackendServer)
         return UsualComeBack;
@@ -407,8 +402,8 @@
         .with("waiting", std::uint64_t{ request.service ? request.service->queue.size() : 0 })
         .with("version", this->parts.services->version());
     actions.emplace_back(std::move(record));
-    actions.emplace_back(RefuseRequest{
-        .request = request.number, .outcome = outcome, .reason = reason, .comeBackAfter = comeBack });
+    actions.emplace_back(
+        RefuseRequest{ .request = request.number, .outcome = outcome, .reason = reason, .comeBackAfter = comeBack });
     this->close(request, now, actions);
 }
 
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -61,16 +61,18 @@
 private:
     using Requests = std::unordered_map<RequestNumber, RequestState>;
 
-    void refuseUnrouted(const RequestArrived& event, RefusalReason reason, Actions& actions);
+    void refuseUnrouted(const RequestArrived& event, RefusalReason reason, Actions& actions) const;
     RequestState& open(const RequestArrived& event, std::shared_ptr<const Route> route, Milliseconds now);
     void askForFigures(RequestState& request, Milliseconds now, Actions& actions);
     bool isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const;
     void enqueue(RequestState& request, Milliseconds now, Actions& actions);
     void pump(ServiceState& service, Milliseconds now, Actions& actions);
     void send(RequestState& request, std::shared_ptr<BackendServerState> server, Milliseconds now, Actions& actions);
-    void recordSent(const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions);
+    void recordSent(
+        const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions) const;
 
-    void learn(RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
+    void learn(
+        RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions) const;
     void decideAfter(RequestState& request, const AttemptEnded& event, Milliseconds now, Actions& actions);
     bool tryAgain(RequestState& request, const AttemptEnd& end, Milliseconds now, Actions& actions);
     bool mayPass(const RequestState& request, const AttemptEnd& end) const;
@@ -78,7 +80,7 @@
     void pass(RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions);
     void timedOut(RequestState& request, Milliseconds now, Actions& actions);
-    Milliseconds comeBackAfter(const Route& route, RefusalReason reason);
+    Milliseconds comeBackAfter(const Route& route, RefusalReason reason) const;
     void close(RequestState& request, Milliseconds now, Actions& actions);
     void tickRequest(RequestState& request, Milliseconds now, Actions& actions);
     RoutingContext contextOf(const RequestState& request, Milliseconds now) const;
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -49,8 +49,7 @@
         service->configure(ServiceDescription(service->description), this->instances);
 }
 
-void ServiceTable::put(
-    const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes)
+void ServiceTable::put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes)
 {
     const auto [known, isNew] = this->records.emplace(record.id, record);
     const bool startsDraining = record.draining && (isNew || !known->second.draining);
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -50,8 +50,7 @@
     bool isConfigured() const { return this->configured; }
     std::uint64_t version() const { return this->configuration.version; }
     const RoutingConfiguration& current() const { return this->configuration; }
-    std::shared_ptr<const Route> route(
-        std::string_view host, std::string_view method, std::string_view path) const;
+    std::shared_ptr<const Route> route(std::string_view host, std::string_view method, std::string_view path) const;
     /** The service that the next request of the route goes to; null when the route names an unknown one. */
     std::shared_ptr<ServiceState> serviceFor(const Route& route);
     /** A request of the route was sent to the service that serviceFor() gave. */
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -9,12 +9,22 @@
 
 /** On the way from one instance to another. */
 constexpr Milliseconds Transit{ 2 };
+/** Of changes that are sent without being asked for. */
+constexpr std::size_t MostNewsBytes = 2048;
 
 StoreItem itemOf(const peers::Item& item)
 {
     return { .key = item.key(), .value = item.value(), .revision = item.revision(), .removed = item.removed() };
 }
 
+std::size_t bytesOf(const std::vector<StoreItem>& items)
+{
+    std::size_t bytes = 0;
+    for (const StoreItem& item : items)
+        bytes += item.key.size() + item.value.size();
+    return bytes;
+}
+
 template <typename Items>
 std::vector<StoreItem> itemsOf(const Items& items)
 {
@@ -132,7 +142,8 @@
     if (news.is_confirmed())
         news.set_age_milliseconds(static_cast<std::uint32_t>(std::max(0.0, (now - this->confirmed).count)));
     const auto changes = since ? this->storeView.changesSince(since) : std::nullopt;
-    if (!changes)
+    // Every watcher tells everybody: large changes are pulled, from one of them.
+    if (!changes || bytesOf(*changes) > MostNewsBytes)
         return;
     news.set_base_revision(since);
     for (const StoreItem& item : *changes)
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -39,7 +39,7 @@
     void takeWritten(const StoreItem& item, Milliseconds now, Actions& actions);
     void takePush(const peers::Push& push, Milliseconds now, Actions& actions);
     peers::Push pushFor(StoreRevision revision) const;
-    /** The changes since a revision, for news; the base is 0 when they are no longer known. */
+    /** The changes since a revision, for news; the base is 0 when they are no longer known or too large. */
     void fill(peers::News& news, StoreRevision since, Milliseconds now) const;
 
     const StoreView& view() const { return this->storeView; }
--- a/Source/Program/DecisionLog.cpp
+++ b/Source/Program/DecisionLog.cpp
@@ -64,8 +64,9 @@
     for (Channel* channel : std::array<Channel*, 3>{ &this->requests, &this->refusals, &this->beliefs }) {
         const std::uint64_t leftOut = channel->budget.takeLeftOut();
         if (leftOut)
-            channel->log.write(
-                Severity::Warning, "lines_left_out", "\"severity_of_lines\":" + std::to_string(static_cast<int>(channel->severity)) + ",\"count\":" + std::to_string(leftOut));
+            channel->log.write(Severity::Warning, "lines_left_out",
+                "\"severity_of_lines\":" + std::to_string(static_cast<int>(channel->severity))
+                    + ",\"count\":" + std::to_string(leftOut));
     }
 }
 
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -36,9 +36,9 @@
     options.incarnation = newIncarnation();
     options.seed = std::random_device{}();
     options.seeds = settings.seeds;
-    options.retries = { .share = settings.retryShare,
-        .slack = static_cast<double>(settings.retrySlack),
-        .window = settings.retryWindow };
+    options.retries = {
+        .share = settings.retryShare, .slack = static_cast<double>(settings.retrySlack), .window = settings.retryWindow
+    };
     options.probesPerSecond = static_cast<double>(settings.probesPerSecond);
     options.changeKey = dialect.changeKey;
     options.translator = dialect.facts;
@@ -140,8 +140,7 @@
     return this->node.isReady();
 }
 
-void Instance::listenFailed(
-    std::string_view place, const NetworkAddress& address, const std::error_code& error) const
+void Instance::listenFailed(std::string_view place, const NetworkAddress& address, const std::error_code& error) const
 {
     this->log.error("The address " + address.text() + " cannot be used: " + error.message()
         + ". Free it or name another one in " + std::string(place) + ".");
@@ -169,8 +168,8 @@
     if (const auto error = this->start())
         return error;
     this->log.write(Severity::Info, "started",
-        "\"callers\":\"" + this->settings.callersAddress.text() + "\",\"peers\":\""
-            + this->settings.peersAddress.text() + "\",\"store\":\"" + this->settings.storeAddress.text() + "\"");
+        "\"callers\":\"" + this->settings.callersAddress.text() + "\",\"peers\":\"" + this->settings.peersAddress.text()
+            + "\",\"store\":\"" + this->settings.storeAddress.text() + "\"");
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.add(SIGHUP);
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -1,8 +1,8 @@
 #include "Logging/Logger.h"
-#include "Program/ControlCommand.h"
-#include "Program/ExitCode.h"
 #include "PlatformDialect.h"
+#include "Program/ControlCommand.h"
 #include "Program/Dialect.h"
+#include "Program/ExitCode.h"
 #include "Program/Instance.h"
 #include "Settings/SettingsReader.h"
 
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -159,9 +159,8 @@
 void BackendServerState::reported(const LoadFigures& figures, Milliseconds now)
 {
     const double total = static_cast<double>(figures.running) + figures.waiting;
-    this->lastReport = { .figures = figures,
-        .others = std::max(0.0, total - static_cast<double>(this->inFlight())),
-        .at = now };
+    this->lastReport
+        = { .figures = figures, .others = std::max(0.0, total - static_cast<double>(this->inFlight())), .at = now };
 }
 
 void BackendServerState::probeFailed()
--- a/Source/Routing/LoadAwarePolicy.cpp
+++ b/Source/Routing/LoadAwarePolicy.cpp
@@ -63,21 +63,18 @@
     const double trust = std::exp(-std::max(0.0, (now - report.at).count) / ReportDecay.count);
     const double told = std::max<std::uint32_t>(report.figures.workPercent, 1) / UsualPercent;
     ExpectedLoad load;
-    load.requests
-        = static_cast<double>(server.inFlight()) + pool.others + (report.others - pool.others) * trust;
+    load.requests = static_cast<double>(server.inFlight()) + pool.others + (report.others - pool.others) * trust;
     load.workFactor = pool.workFactor + (told - pool.workFactor) * trust;
     return load;
 }
 
-double LoadAwarePolicy::score(
-    const BackendServerState& server, const PoolLoad& pool, const RoutingContext& context)
+double LoadAwarePolicy::score(const BackendServerState& server, const PoolLoad& pool, const RoutingContext& context)
 {
     const ExpectedLoad load = expectedLoadOf(server, pool, context.now);
     const double slow = std::max(1.0, server.slowness(context.now) / UsualSlowness);
     // Own requests that hang tell of a slow-down before any answer does.
-    const double hanging = context.expected.count > 0
-        ? std::max(1.0, server.oldestAge(context.now) / context.expected / UsualAge)
-        : 1;
+    const double hanging
+        = context.expected.count > 0 ? std::max(1.0, server.oldestAge(context.now) / context.expected / UsualAge) : 1;
     const double cold = server.isCold(context.now) ? ColdFactor : 1;
     const double failures = 1 + FailureWeight * server.failureShare(context.now);
     const double distance = server.record().dataCentre == context.dataCentre ? 0 : DistanceShare;
--- a/Source/Routing/OutlierDetector.cpp
+++ b/Source/Routing/OutlierDetector.cpp
@@ -16,8 +16,8 @@
 {
 }
 
-bool OutlierDetector::check(BackendServerState& server, std::span<const std::shared_ptr<BackendServerState>> pool,
-    Milliseconds now) const
+bool OutlierDetector::check(
+    BackendServerState& server, std::span<const std::shared_ptr<BackendServerState>> pool, Milliseconds now) const
 {
     // On trial one failure is enough.
     const unsigned allowed = server.isOnTrial() ? 1 : this->options.failuresInARow;
--- a/Source/Routing/OutlierDetector.h
+++ b/Source/Routing/OutlierDetector.h
@@ -26,8 +26,8 @@
     explicit OutlierDetector(Options options);
 
     /** True when the backend server, which just failed, was ejected. */
-    bool check(BackendServerState& server, std::span<const std::shared_ptr<BackendServerState>> pool,
-        Milliseconds now) const;
+    bool check(
+        BackendServerState& server, std::span<const std::shared_ptr<BackendServerState>> pool, Milliseconds now) const;
 
 private:
     Options options;
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -90,8 +90,8 @@
         return !this->hasRoom(*server, requests, context.now);
     });
     if (!wish.mayTry && candidates.size() > 1) {
-        const bool hasOthers = std::any_of(
-            candidates.begin(), candidates.end(), [](const BackendServerState* server) { return !server->isOnTrial(); });
+        const bool hasOthers = std::any_of(candidates.begin(), candidates.end(),
+            [](const BackendServerState* server) { return !server->isOnTrial(); });
         if (hasOthers)
             std::erase_if(candidates, [](const BackendServerState* server) { return server->isOnTrial(); });
     }
@@ -110,8 +110,7 @@
     std::vector<std::pair<double, const BackendServerState*>> ranked;
     ranked.reserve(takers.size());
     for (const BackendServerState* server : takers)
-        ranked.emplace_back(
-            LoadAwarePolicy::score(*server, pool, context) * (1 + jitter * random.unit()), server);
+        ranked.emplace_back(LoadAwarePolicy::score(*server, pool, context) * (1 + jitter * random.unit()), server);
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(ranked.size(), most));
     std::vector<std::shared_ptr<BackendServerState>> found;
@@ -129,8 +128,8 @@
 
 std::shared_ptr<BackendServerState> ServicePool::find(std::string_view id) const
 {
-    const auto found = std::find_if(
-        this->list.begin(), this->list.end(), [id](const auto& server) { return server->id() == id; });
+    const auto found
+        = std::find_if(this->list.begin(), this->list.end(), [id](const auto& server) { return server->id() == id; });
     return found == this->list.end() ? nullptr : *found;
 }
 
--- a/Source/Settings/DuplicateKeys.cpp
+++ b/Source/Settings/DuplicateKeys.cpp
@@ -16,15 +16,9 @@
     {
     }
 
-    void opened()
-    {
-        this->levels.push_back({ .keys = {}, .current = {} });
-    }
+    void opened() { this->levels.push_back({ .keys = {}, .current = {} }); }
 
-    void closed()
-    {
-        this->levels.pop_back();
-    }
+    void closed() { this->levels.pop_back(); }
 
     void key(const std::string& name)
     {
--- a/Source/Settings/SettingsSection.cpp
+++ b/Source/Settings/SettingsSection.cpp
@@ -107,8 +107,8 @@
         if (parsed)
             value.push_back(*parsed);
         else
-            this->findings->add(this->placeOf(key) + "/" + std::to_string(index),
-                "is not an address; " + std::string(AddressExample));
+            this->findings->add(
+                this->placeOf(key) + "/" + std::to_string(index), "is not an address; " + std::string(AddressExample));
     }
 }
 
@@ -157,8 +157,8 @@
         value = { static_cast<double>(number) };
         return;
     }
-    const bool isInRange = read->count >= static_cast<double>(range.lowest)
-        && read->count <= static_cast<double>(range.highest);
+    const bool isInRange
+        = read->count >= static_cast<double>(range.lowest) && read->count <= static_cast<double>(range.highest);
     if (isInRange)
         value = *read;
     else
--- a/Source/StoreClient/HttpStoreClient.cpp
+++ b/Source/StoreClient/HttpStoreClient.cpp
@@ -35,8 +35,8 @@
     options.request = encode(std::move(message));
     options.connectTimeout = ConnectTimeout;
     options.timeout = request.timeout;
-    const auto exchange = std::make_shared<HttpExchange>(
-        *this->context, std::move(options), [this, request](HttpExchangeEnd end) { this->ended(request, std::move(end)); });
+    const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
+        [this, request](HttpExchangeEnd end) { this->ended(request, std::move(end)); });
     this->underWay[request.number] = exchange;
     exchange->start(this->connections.take(PoolKey, Never));
 }
--- a/Source/StoreClient/HttpStoreClient.h
+++ b/Source/StoreClient/HttpStoreClient.h
@@ -25,8 +25,8 @@
  */
 class HttpStoreClient {
 public:
-    HttpStoreClient(asio::io_context& context, const NetworkAddress& address, const StoreWire& wire,
-        const Clock& clock, EventSink& sink);
+    HttpStoreClient(asio::io_context& context, const NetworkAddress& address, const StoreWire& wire, const Clock& clock,
+        EventSink& sink);
 
     void ask(const StoreRequest& request);
     void tend() { this->connections.tend(); }
--- a/Source/Traffic/LoadText.cpp
+++ b/Source/Traffic/LoadText.cpp
@@ -38,9 +38,8 @@
 std::optional<LoadFigures> parseLoad(std::string_view text)
 {
     LoadFigures figures;
-    const std::array<std::uint32_t*, 4> fields{
-        &figures.running, &figures.waiting, &figures.slots, &figures.workPercent
-    };
+    const std::array<std::uint32_t*, 4> fields{ &figures.running, &figures.waiting, &figures.slots,
+        &figures.workPercent };
     for (std::uint32_t* field : fields) {
         if (text.empty())
             break;
@@ -74,8 +73,7 @@
     constexpr std::size_t longest = 32;
     std::array<char, longest> digits{};
     const double seconds = std::clamp(span.count, 0.0, LongestMilliseconds) / MillisecondsPerSecond;
-    const auto written
-        = std::to_chars(digits.begin(), digits.end(), seconds, std::chars_format::fixed, decimals);
+    const auto written = std::to_chars(digits.begin(), digits.end(), seconds, std::chars_format::fixed, decimals);
     return { digits.begin(), written.ptr };
 }
 
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -119,8 +119,7 @@
     HttpRequest message = request.message;
     removeConnectionFields(message);
     message.version(HttpVersion);
-    this->parts.dialect->writeAttempt(
-        message, { .backendServer = action.backendServer, .timeLeft = action.timeLeft });
+    this->parts.dialect->writeAttempt(message, { .backendServer = action.backendServer, .timeLeft = action.timeLeft });
     return message;
 }
 
@@ -150,8 +149,7 @@
     started.exchange->start(std::move(kept));
 }
 
-AttemptEnd RequestDesk::endOf(
-    const HttpExchangeEnd& end, const std::string& backendServer) const
+AttemptEnd RequestDesk::endOf(const HttpExchangeEnd& end, const std::string& backendServer) const
 {
     if (end.response)
         return this->parts.dialect->readAnswer(*end.response, backendServer);
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Http/HttpConnectionPool.h"
 #include "Http/HttpExchange.h"
 #include "Http/HttpListener.h"
-#include "Http/HttpConnectionPool.h"
 #include "Metrics/TrafficMetrics.h"
 #include "Node/Actions.h"
 #include "Node/EventSink.h"
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -107,8 +107,8 @@
     const std::size_t instance = number % Instances;
     // What an instance does not answer while it stands still is not its fault.
     const bool mayFreeze = instance == StruckInstance;
-    const auto caller = this->fleet.send(instance, "bookings.example", isRead ? "GET" : "POST", "/bookings", TimeLeft,
-        mayFreeze ? "frozen" : "");
+    const auto caller = this->fleet.send(
+        instance, "bookings.example", isRead ? "GET" : "POST", "/bookings", TimeLeft, mayFreeze ? "frozen" : "");
     if (number % LeavingEvery == 0)
         this->fleet.clock().after(Gap, [this, caller] { this->fleet.leave(caller); });
 }
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -1,6 +1,6 @@
+#include "Http/HttpExchange.h"
 #include "Base/SteadyClock.h"
 #include "Http/HttpConnectionPool.h"
-#include "Http/HttpExchange.h"
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -33,17 +33,11 @@
     {
     }
 
-    ~ScriptedServer()
-    {
-        this->thread.join();
-    }
+    ~ScriptedServer() { this->thread.join(); }
     ScriptedServer(const ScriptedServer&) = delete;
     ScriptedServer& operator=(const ScriptedServer&) = delete;
 
-    NetworkAddress address() const
-    {
-        return { .host = "127.0.0.1", .port = this->acceptor.local_endpoint().port() };
-    }
+    NetworkAddress address() const { return { .host = "127.0.0.1", .port = this->acceptor.local_endpoint().port() }; }
 
 private:
     void serve()
@@ -88,10 +82,11 @@
 
 const std::vector<Case> Cases{
     { "a whole answer", { Ok }, Answered, "hi", true },
-    { "in chunks", { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n" },
+    { "in chunks",
+        { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n" },
         Answered, "hi", true },
-    { "that closes", { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi" }, Answered,
-        "hi", false },
+    { "that closes", { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi" },
+        Answered, "hi", false },
     { "with bytes behind it", { Ok + "garbage" }, Answered, "hi", false },
     { "with a second answer behind it", { Ok + Ok }, Answered, "hi", false },
     { "behind an answer of another request", { Foreign + Ok }, Answered, "hi", false },
--- a/Tests/Membership/MemberTableTest.cpp
+++ b/Tests/Membership/MemberTableTest.cpp
@@ -1,5 +1,5 @@
-#include "Membership/ContactBook.h"
 #include "Membership/MemberTable.h"
+#include "Membership/ContactBook.h"
 #include "Membership/NewsTree.h"
 
 #include <set>
--- a/Tests/Platform/KvFactTranslatorTest.cpp
+++ b/Tests/Platform/KvFactTranslatorTest.cpp
@@ -1,5 +1,5 @@
-#include "Base64.h"
 #include "KvFactTranslator.h"
+#include "Base64.h"
 
 #include <string>
 #include <vector>
@@ -18,7 +18,8 @@
     "services":{"s-a":{"health_check_path":"/health","max_connections":260},"s-b":{"health_check_path":"/h","max_connections":20}},
     "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15s"}})";
 
-constexpr const char* Server = R"({"address":"10.128.0.9:8080","info":{"service":"s-a","version":"v1","zone":"z-1","slots":4},
+constexpr const char* Server
+    = R"({"address":"10.128.0.9:8080","info":{"service":"s-a","version":"v1","zone":"z-1","slots":4},
     "status":{"state":"draining","sequence":4,"cold_remaining":"1500ms"}})";
 
 StoreItem item(const char* key, const char* value, bool removed = false)
--- a/Tests/Platform/KvStoreWireTest.cpp
+++ b/Tests/Platform/KvStoreWireTest.cpp
@@ -27,10 +27,12 @@
 constexpr StoreOperation Write = StoreOperation::Write;
 
 const std::vector<Case> Cases{
-    { "a range", Range, 200, R"({"items":[{"key":"a","value":"eA==","revision":4,"made":1,"lease":0}],"more":true,"at":9})",
+    { "a range", Range, 200,
+        R"({"items":[{"key":"a","value":"eA==","revision":4,"made":1,"lease":0}],"more":true,"at":9})",
         StoreStatus::Done, 1, 9 },
     { "an empty range", Range, 200, R"({"items":[],"more":false,"at":9})", StoreStatus::Done, 0, 9 },
-    { "events", Watch, 200, R"({"events":[{"key":"a","value":"eA==","revision":4},{"key":"b","revision":5,"gone":true}],"at":5})",
+    { "events", Watch, 200,
+        R"({"events":[{"key":"a","value":"eA==","revision":4},{"key":"b","revision":5,"gone":true}],"at":5})",
         StoreStatus::Done, 2, 5 },
     { "a quiet watch", Watch, 200, R"({"events":[],"at":5})", StoreStatus::Done, 0, 5 },
     { "lost history", Watch, 410, "", StoreStatus::HistoryLost, 0, 0 },
@@ -97,7 +99,6 @@
     write.key = "k";
     write.value = "x";
     write.expected = 4;
-    STRCMP_EQUAL(
-        R"({"expected_revision":[{"key":"k","revision":4}],"put":[{"key":"k","value":"eA=="}],"remove":[]})",
+    STRCMP_EQUAL(R"({"expected_revision":[{"key":"k","revision":4}],"put":[{"key":"k","value":"eA=="}],"remove":[]})",
         this->wire.encode(write).body().c_str());
 }
--- a/Tests/Program/StopSequenceTest.cpp
+++ b/Tests/Program/StopSequenceTest.cpp
@@ -1,5 +1,5 @@
-#include "Program/LineBudget.h"
 #include "Program/StopSequence.h"
+#include "Program/LineBudget.h"
 
 // Redefines operator new: after all other headers.
 #include <CppUTest/TestHarness.h>
--- a/Tests/Routing/RouteTableTest.cpp
+++ b/Tests/Routing/RouteTableTest.cpp
@@ -74,9 +74,8 @@
 
 TEST(RouteTable, WeightsAreKeptAtEveryMoment)
 {
-    const std::vector<WeightedService> parts{
-        { .service = "a", .weight = 90 }, { .service = "b", .weight = 9 }, { .service = "c", .weight = 1 }
-    };
+    const std::vector<WeightedService> parts{ { .service = "a", .weight = 90 }, { .service = "b", .weight = 9 },
+        { .service = "c", .weight = 1 } };
     for (const double start : { 0.0, 0.37, 0.95, 0.999 }) {
         WeightedTurn turn(parts, start);
         std::map<std::string, double> counts;
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -1,5 +1,5 @@
-#include "Routing/LoadAwarePolicy.h"
 #include "Routing/ServicePool.h"
+#include "Routing/LoadAwarePolicy.h"
 
 #include <memory>
 #include <string>
--- a/Tests/Settings/SettingsReaderTest.cpp
+++ b/Tests/Settings/SettingsReaderTest.cpp
@@ -64,7 +64,8 @@
             "/store/address" } },
     { "five faults", FiveFaults,
         { "/instance/dataCentre", "/listen/callers", "/store/colour", "/sessions/maximum", "/log/format" } },
-    { "bad values", BadValues, { "/seeds/1", "/stop/bound", "/stop/readinessLead", "/retries/share", "/retries/slack" } },
+    { "bad values", BadValues,
+        { "/seeds/1", "/stop/bound", "/stop/readinessLead", "/retries/share", "/retries/slack" } },
     { "duplicate keys", DuplicateKeys, { "/instance/name", "/store" } },
     { "contradictions", Contradictions, { "/stop/readinessLead", "/listen" } },
 };
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -1,6 +1,6 @@
+#include "Traffic/RequestDesk.h"
 #include "Base/SteadyClock.h"
 #include "Traffic/OwnTrafficDialect.h"
-#include "Traffic/RequestDesk.h"
 
 #include <array>
 #include <asio/steady_timer.hpp>
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -334,8 +334,7 @@
 {
     this->answers[{ instance, action.attempt }] = word.requestId;
     this->answerResults[action.attempt * 100 + instance] = word.end.result;
-    this->deliver(
-        instance, life,
+    this->deliver(instance, life,
         AttemptEnded{ .request = action.request,
             .attempt = action.attempt,
             .backendServer = action.backendServer,
@@ -403,11 +402,12 @@
 {
     const std::uint64_t life = this->nodes[instance].life;
     const auto answered = std::make_shared<bool>(false);
-    this->store.call(this->nameOf(instance), action.request, [this, instance, life, answered](const StoreAnswer& answer) {
-        if (std::exchange(*answered, true))
-            return;
-        this->deliver(instance, life, StoreAnswered{ .answer = answer });
-    });
+    this->store.call(
+        this->nameOf(instance), action.request, [this, instance, life, answered](const StoreAnswer& answer) {
+            if (std::exchange(*answered, true))
+                return;
+            this->deliver(instance, life, StoreAnswered{ .answer = answer });
+        });
     this->time.after(action.request.timeout, [this, instance, life, answered, number = action.request.number] {
         if (std::exchange(*answered, true))
             return;
--- a/Tests/Virtual/VirtualStore.cpp
+++ b/Tests/Virtual/VirtualStore.cpp
@@ -43,8 +43,7 @@
 {
     if (request.operation == StoreOperation::Watch)
         return this->watch(instance, request, answer);
-    const StoreAnswer given
-        = request.operation == StoreOperation::Write ? this->write(request) : this->range(request);
+    const StoreAnswer given = request.operation == StoreOperation::Write ? this->write(request) : this->range(request);
     if (this->fault != StoreFault::LosesAnswers)
         this->reply(answer, given);
 }
--- a/Tests/Virtual/VirtualStore.h
+++ b/Tests/Virtual/VirtualStore.h
@@ -82,9 +82,8 @@
     std::vector<Waiting> watches;
     std::uint64_t lastWatch = 0;
     std::size_t callCount = 0;
-    std::map<StoreOperation, std::size_t> byOperation{
-        { StoreOperation::ReadRange, 0 }, { StoreOperation::Watch, 0 }, { StoreOperation::Write, 0 }
-    };
+    std::map<StoreOperation, std::size_t> byOperation{ { StoreOperation::ReadRange, 0 }, { StoreOperation::Watch, 0 },
+        { StoreOperation::Write, 0 } };
 };
 
 }
