--- a/Tests/Membership/WatchDutyTest.cpp
+++ b/Tests/Membership/WatchDutyTest.cpp
@@ -76,9 +76,7 @@
 
 TEST(WatchDuty, OfTooManyOnlyTheLowestRanksStay)
 {
-    std::vector<std::string> names;
-    for (int index = 0; index < 7; ++index)
-        names.push_back("entry-" + std::to_string(index));
+    const std::vector<std::string> names{ "entry-0", "entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6" };
     int staying = 0;
     for (const std::string& name : names) {
         WatchDuty duty({ .ownName = name });
--- a/Tests/Store/StoreViewTest.cpp
+++ b/Tests/Store/StoreViewTest.cpp
@@ -43,7 +43,7 @@
 {
     StoreView view;
 
-    const char* valueOf(const char* key)
+    const char* valueOf(const char* key) const
     {
         const StoreItem* item = this->view.find(key);
         return item ? item->value.c_str() : nullptr;
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -88,7 +88,7 @@
         CHECK(!this->desk->start());
     }
 
-    void configure()
+    void configure() const
     {
         this->desk->execute(SetCallerLimits{ .limits = { .headerBytes = 2048, .bodyBytes = 4096 } });
     }
