--- a/Benchmarks/PolicyRun.cpp
+++ b/Benchmarks/PolicyRun.cpp
@@ -21,12 +21,17 @@
 constexpr Milliseconds NoiseInterval{ 150 };
 constexpr double NoiseShare = 0.25;
 constexpr double NoiseFactor = 5;
+constexpr double RushFactor = 3;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Disturbance::Count)> Names{
     "steady",
     "noisy-neighbours",
     "slow-server",
     "failing-server",
+    "frozen-report",
+    "drain",
+    "data-centre-lost",
+    "morning-rush",
     "overload",
 };
 
@@ -71,26 +76,63 @@
     this->fleet.clock().after(gap, [this] { this->arrive(); });
 }
 
-RunFigures PolicyRun::run()
+void PolicyRun::disturb()
+{
+    VirtualBackendServer& struck = this->fleet.server("s3");
+    switch (this->disturbance) {
+    case Disturbance::SlowServer:
+        return struck.setFault(ServerFault::Slow);
+    case Disturbance::FailingServer:
+        return struck.setFault(ServerFault::Fails);
+    case Disturbance::FrozenReport:
+        struck.setNoise(NoiseFactor);
+        return struck.setFrozenReport(true);
+    case Disturbance::Drain:
+        return this->drainTwo();
+    case Disturbance::DataCentreLost:
+        // Servers are spread over three data centres in the order of their names.
+        for (const char* id : { "s0", "s3", "s6", "s9" })
+            this->fleet.server(id).setFault(ServerFault::Dark);
+        return;
+    case Disturbance::MorningRush:
+        this->requestsPerSecond *= RushFactor;
+        this->fleet.clock().after(Second, [this] { this->requestsPerSecond /= RushFactor; });
+        return;
+    default:
+        return;
+    }
+}
+
+void PolicyRun::drainTwo()
+{
+    v1::Configuration configuration = this->configuration(2);
+    for (v1::BackendServer& server : *configuration.mutable_services(0)->mutable_backend_servers())
+        server.set_draining(server.name() == "s3" || server.name() == "s4");
+    this->fleet.configure(configuration);
+}
+
+v1::Configuration PolicyRun::configuration(std::uint32_t revision) const
 {
-    v1::Configuration configuration = virtualConfiguration(this->fleet.serverIds(), 1);
-    configuration.mutable_services(0)->mutable_limits()->set_deadline_milliseconds(
-        static_cast<std::uint32_t>(TimeLeft.count));
-    v1::RequestRule* rule = configuration.mutable_services(0)->add_rules();
+    v1::Configuration configuration = virtualConfiguration(this->fleet.serverIds(), revision);
+    v1::Service* service = configuration.mutable_services(0);
+    service->mutable_limits()->set_deadline_milliseconds(static_cast<std::uint32_t>(TimeLeft.count));
+    v1::RequestRule* rule = service->add_rules();
     rule->set_path_prefix("/");
     rule->set_repeat(v1::MAY_REPEAT);
     rule->set_target_milliseconds(static_cast<std::uint32_t>(Target.count));
-    this->fleet.configure(configuration);
+    return configuration;
+}
+
+RunFigures PolicyRun::run()
+{
+    this->fleet.configure(this->configuration(1));
     this->fleet.startAll();
     this->fleet.run(WarmUp * 0.5);
     if (this->disturbance == Disturbance::NoisyNeighbours)
         this->changeNoise();
     this->arrive();
     this->fleet.run(WarmUp * 0.5);
-    if (this->disturbance == Disturbance::SlowServer)
-        this->fleet.server("s3").setFault(ServerFault::Slow);
-    if (this->disturbance == Disturbance::FailingServer)
-        this->fleet.server("s3").setFault(ServerFault::Fails);
+    this->disturb();
     this->fleet.run(Measured);
     return this->figures();
 }
--- a/Benchmarks/PolicyRun.h
+++ b/Benchmarks/PolicyRun.h
@@ -16,6 +16,10 @@
     NoisyNeighbours, // a quarter of the servers is five times slower, drawn anew every 150 ms
     SlowServer,
     FailingServer,
+    FrozenReport, // a server that is five times slower tells that it is idle and fast
+    Drain, // an operator drains two servers
+    DataCentreLost, // its servers say nothing any more
+    MorningRush, // three times the requests for a second
     Overload, // half as much again as the servers can do
     Count
 };
@@ -40,6 +44,9 @@
 
 private:
     void changeNoise();
+    void disturb();
+    void drainTwo();
+    v1::Configuration configuration(std::uint32_t revision) const;
     void arrive();
     RunFigures figures() const;
 
--- a/Source/Configuration/ChangeCoordinator.cpp
+++ b/Source/Configuration/ChangeCoordinator.cpp
@@ -74,7 +74,7 @@
             this->giveUp();
             return this->next(now);
         }
-        this->read(now);
+        this->read();
     }
     return std::exchange(this->commit->toSend, std::nullopt);
 }
@@ -96,7 +96,7 @@
     this->commit->toSend = std::move(request);
 }
 
-void ChangeCoordinator::read(Milliseconds)
+void ChangeCoordinator::read()
 {
     StoreRequest request;
     request.operation = StoreOperation::ReadRange;
--- a/Source/Configuration/ChangeCoordinator.h
+++ b/Source/Configuration/ChangeCoordinator.h
@@ -66,7 +66,7 @@
         bool writeUncertain = false; // a write without an answer may still take effect
     };
 
-    void read(Milliseconds now);
+    void read();
     void readAnswered(const StoreAnswer& answer, Milliseconds now);
     void decide(const v1::Configuration& base, StoreRevision storedAt);
     void write(const v1::Configuration& configuration, StoreRevision expected);
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -50,6 +50,7 @@
         this->forgetClosed();
     if (this->open.size() >= this->mostSessions) {
         ++this->refused;
+        this->handler->sessionRefused();
         return;
     }
     const auto session = std::make_shared<HttpSession>(
@@ -83,6 +84,16 @@
     }
 }
 
+std::size_t HttpListener::unfinished() const
+{
+    std::size_t count = 0;
+    for (const auto& [number, item] : this->open) {
+        const auto session = item.lock();
+        count += session && session->isOpen() && session->isUnfinished() ? 1 : 0;
+    }
+    return count;
+}
+
 void HttpListener::closeIdle()
 {
     for (const auto& [number, item] : this->open) {
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -31,6 +31,8 @@
     void closeIdle();
     /** Closes slow and idle sessions; to be called about once a second. */
     void tend();
+    /** Sessions whose answer is awaited or not yet written whole. */
+    std::size_t unfinished() const;
     std::size_t sessions() const { return this->open.size(); }
     std::uint64_t refusedSessions() const { return this->refused; }
 
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -32,6 +32,8 @@
     virtual void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) = 0;
     /** To be answered too; the connection is closed afterwards. */
     virtual void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) = 0;
+    /** A connection was closed at once, since too many are open. */
+    virtual void sessionRefused() { }
     /** The caller closed its connection while it waited for an answer. */
     virtual void callerGone(const std::shared_ptr<HttpSession>& session) = 0;
 };
@@ -65,6 +67,8 @@
 
     std::uint64_t number() const { return this->sessionNumber; }
     bool isOpen() const { return this->socket.is_open(); }
+    /** An answer is awaited or not yet written whole. */
+    bool isUnfinished() const { return this->state == State::Answering || !this->output.empty(); }
     /** No request is being read, answered or written. */
     bool isIdle() const;
 
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds InForcePatience{ 1500 };
 /** A count of instances that others told is forgotten after this. */
 constexpr Milliseconds CountKept{ 10000 };
+/** An origin that was not heard for so long may begin anew with any number. */
+constexpr Milliseconds OriginSilent{ 5000 };
 constexpr std::size_t ContactsPerNews = 2;
 constexpr std::uint64_t NewsPerContacts = 4;
 constexpr std::size_t ContactsAsked = 3;
@@ -119,15 +121,24 @@
         this->send(addressOf(watcher), passedOn, actions);
 }
 
+bool NewsExchange::isNewer(const peers::News& news, Milliseconds now)
+{
+    LastNews& last = this->lastNews[news.origin().incarnation().name()];
+    const std::uint64_t life = news.origin().incarnation().number();
+    // A machine whose clock went back begins a life with a lower number.
+    const bool isSilent = now - last.heardAt > OriginSilent;
+    const bool isEarlier = life < last.life || (life == last.life && news.number() <= last.number);
+    if (isEarlier && !(isSilent && life != last.life))
+        return false;
+    last = { .life = life, .number = news.number(), .heardAt = now };
+    return true;
+}
+
 void NewsExchange::newsReceived(const peers::News& news, Milliseconds now, Actions& actions)
 {
     const peers::Incarnation& origin = news.origin().incarnation();
-    auto& [life, number] = this->lastNews[origin.name()];
-    const bool isOld = origin.number() < life || (origin.number() == life && news.number() <= number);
-    if (isOld || origin.name() == this->options.self.incarnation().name())
+    if (origin.name() == this->options.self.incarnation().name() || !this->isNewer(news, now))
         return;
-    life = origin.number();
-    number = news.number();
     this->relay(news, actions);
     if (!this->duty.knows(origin))
         this->introduceMembers(news.origin(), actions);
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -64,6 +64,13 @@
     void askMembers(OperatorCallNumber call, Milliseconds now, Actions& actions);
 
 private:
+    /** The latest news of an origin. */
+    struct LastNews {
+        std::uint64_t life = 0;
+        std::uint64_t number = 0;
+        Milliseconds heardAt = LongAgo;
+    };
+
     /** An operator who waits to hear what is in force where. */
     struct InForceCall {
         OperatorCallNumber call = 0;
@@ -74,6 +81,8 @@
     /** Only an instance that said hello before can be answered. */
     void answer(const peers::Incarnation& asker, const peers::PeerMessage& message, Actions& actions) const;
     void helloReceived(const peers::Hello& hello, Milliseconds now, Actions& actions);
+    /** True for news that are not older than what this origin told before. */
+    bool isNewer(const peers::News& news, Milliseconds now);
     void newsReceived(const peers::News& news, Milliseconds now, Actions& actions);
     void relay(const peers::News& news, Actions& actions) const;
     /** Tells a new watcher of the instances that said hello here. */
@@ -91,7 +100,7 @@
     MemberTable members;
     ContactBook contacts;
     WatchDuty duty;
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> lastNews; // by origin: life and number
+    std::map<std::string, LastNews> lastNews; // by origin
     std::uint64_t newsNumber = 0;
     StoreRevision spreadRevision = 0; // the receivers have at least this, but for new ones
     std::size_t toldInstances = 1;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -338,7 +338,6 @@
         this->send(request, std::move(choice.server), now, actions);
         return true;
     }
-    request.isRetry = true;
     request.waitUntil = std::max(request.waitUntil, now + request.route->targetLatency * this->options.waitShare);
     request.phase = RequestPhase::Waiting;
     request.service->queue.pushFront(request.route->rank, request.number);
@@ -444,6 +443,14 @@
     this->refuse(request, RefusalReason::DeadlinePassedSending, now, actions);
 }
 
+RefusalReason RequestFlow::whyNobodyTook(const RequestState& request)
+{
+    const auto servers = request.service->pool.servers();
+    const bool anyTakes
+        = std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->takesNewRequests(); });
+    return anyTakes ? RefusalReason::WaitedTooLong : RefusalReason::NoBackendServer;
+}
+
 void RequestFlow::tickRequest(RequestState& request, Milliseconds now, Actions& actions)
 {
     const bool isLate = now >= request.deadline;
@@ -455,7 +462,7 @@
         if (isLate)
             this->refuse(request, RefusalReason::DeadlinePassedWaiting, now, actions);
         else
-            this->refuse(request, RefusalReason::WaitedTooLong, now, actions);
+            this->refuse(request, this->whyNobodyTook(request), now, actions);
         return;
     case RequestPhase::Sending:
         if (isLate)
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -82,6 +82,7 @@
     void timedOut(RequestState& request, Milliseconds now, Actions& actions);
     Milliseconds comeBackAfter(const Route& route, RefusalReason reason) const;
     void close(RequestState& request, Milliseconds now, Actions& actions);
+    static RefusalReason whyNobodyTook(const RequestState& request);
     void tickRequest(RequestState& request, Milliseconds now, Actions& actions);
     RoutingContext contextOf(const RequestState& request, Milliseconds now) const;
 
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -38,7 +38,6 @@
     AttemptHistory history;
     unsigned attempts = 0;
     bool hedged = false;
-    bool isRetry = false; // what waits is a retry, which its budget has paid
     std::vector<Flight> flights;
     std::vector<std::shared_ptr<BackendServerState>> tried;
     std::vector<std::string> asked; // backend servers whose figures are awaited
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -17,6 +17,7 @@
     this->configuration = next;
     this->configured = true;
     this->routes = RouteTable(next);
+    this->forgetTurns();
     std::vector<std::shared_ptr<ServiceState>> kept;
     std::unordered_map<std::string, std::shared_ptr<ServiceState>> keptNames;
     for (const ServiceDescription& description : next.services) {
@@ -40,6 +41,14 @@
     this->byNames = std::move(keptNames);
 }
 
+void ServiceTable::forgetTurns()
+{
+    std::set<std::string_view> names;
+    for (const Route& route : this->configuration.routes)
+        names.insert(route.name);
+    std::erase_if(this->turns, [&](const auto& item) { return !names.contains(item.first); });
+}
+
 void ServiceTable::setInstances(std::size_t count)
 {
     if (count == this->instances)
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -62,6 +62,8 @@
     std::span<const std::shared_ptr<ServiceState>> all() const { return this->services; }
 
 private:
+    /** Those of routes that are no longer there. */
+    void forgetTurns();
     void put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes);
     void remove(const std::string& id, std::vector<BackendServerChange>& changes);
 
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -274,7 +274,7 @@
 void Instance::advanceStop()
 {
     const StopSequence::Step before = this->stop.step();
-    const bool hasWork = this->metrics.openRequests > 0;
+    const bool hasWork = this->metrics.openRequests > 0 || this->metrics.unfinishedAnswers > 0;
     const StopSequence::Step after = this->stop.advance(hasWork, this->clock.now());
     if (before == StopSequence::Step::Announced && after == StopSequence::Step::Draining) {
         this->traffic.run([this] {
@@ -282,6 +282,11 @@
             this->traffic.requestDesk().sessions().closeIdle();
         });
     }
+    if (after == StopSequence::Step::None)
+        return;
+    // For the next look: an answer that is still being written is work, too.
+    this->traffic.run(
+        [this] { this->metrics.unfinishedAnswers = this->traffic.requestDesk().sessions().unfinished(); });
     if (after != StopSequence::Step::Ended)
         return;
     if (hasWork)
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -16,6 +16,10 @@
 constexpr double HighestSlowness = 20;
 /** Younger figures describe what an attempt met. */
 constexpr Milliseconds FreshFigures{ 30 };
+/** A request sent longer ago has reached the server, and its answer has not left it long ago. */
+constexpr Milliseconds OnTheWay{ 25 };
+/** How long the figures of a server count for nothing after a contradiction. */
+constexpr Milliseconds Distrust{ 1000 };
 constexpr double UsualPercent = 100;
 
 /** What the server said of the slowness of the moment. */
@@ -159,6 +163,11 @@
 void BackendServerState::reported(const LoadFigures& figures, Milliseconds now)
 {
     const double total = static_cast<double>(figures.running) + figures.waiting;
+    // A server that knows of fewer requests than are there from here alone
+    // reports something else than its load.
+    const auto isThere = [now](const Flight& flight) { return now - flight.sentAt > OnTheWay; };
+    if (static_cast<double>(std::count_if(this->flights.begin(), this->flights.end(), isThere)) > total)
+        this->distrustedUntil = now + Distrust;
     this->lastReport
         = { .figures = figures, .others = std::max(0.0, total - static_cast<double>(this->inFlight())), .at = now };
 }
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -70,6 +70,8 @@
     double failureShare(Milliseconds now) const;
 
     const LoadReport& report() const { return this->lastReport; }
+    /** False while a report contradicted what had been sent from here. */
+    bool reportIsTrusted(Milliseconds now) const { return now >= this->distrustedUntil; }
     /** How many times longer than usual requests took here, apart from the reported percentage. */
     double slowness(Milliseconds now) const;
     /** How long the oldest request has been in flight; zero with none. */
@@ -98,6 +100,7 @@
     Milliseconds leavingAt = LongAgo;
     std::vector<Flight> flights;
     LoadReport lastReport;
+    Milliseconds distrustedUntil = LongAgo;
     double slownessEstimate = 1;
     Milliseconds slownessAt = LongAgo;
     double failureEstimate = 0;
--- a/Source/Routing/LoadAwarePolicy.cpp
+++ b/Source/Routing/LoadAwarePolicy.cpp
@@ -60,7 +60,8 @@
 ExpectedLoad expectedLoadOf(const BackendServerState& server, const PoolLoad& pool, Milliseconds now)
 {
     const LoadReport& report = server.report();
-    const double trust = std::exp(-std::max(0.0, (now - report.at).count) / ReportDecay.count);
+    const double trust
+        = !server.reportIsTrusted(now) ? 0 : std::exp(-std::max(0.0, (now - report.at).count) / ReportDecay.count);
     const double told = std::max<std::uint32_t>(report.figures.workPercent, 1) / UsualPercent;
     ExpectedLoad load;
     load.requests = static_cast<double>(server.inFlight()) + pool.others + (report.others - pool.others) * trust;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -101,6 +101,11 @@
     session->answer(HttpResponse(statusOf(problem), HttpVersion));
 }
 
+void RequestDesk::sessionRefused()
+{
+    this->parts.sink->post(RefusedEarly{ .reason = RefusalReason::TooManySessions });
+}
+
 void RequestDesk::callerGone(const std::shared_ptr<HttpSession>& session)
 {
     const auto found = this->bySession.find(session->number());
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -84,6 +84,7 @@
     void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) override;
     void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) override;
     void callerGone(const std::shared_ptr<HttpSession>& session) override;
+    void sessionRefused() override;
 
     HttpRequest forwarded(const Request& request, const SendAttempt& action) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
--- a/Tests/FaultMatrix/Promises.cpp
+++ b/Tests/FaultMatrix/Promises.cpp
@@ -18,7 +18,7 @@
 {
     int runs = 0;
     for (const std::string& id : this->fleet->serverIds()) {
-        const auto& journal = const_cast<VirtualFleet*>(this->fleet)->server(id).journal();
+        const auto& journal = this->fleet->server(id).journal();
         const auto found = journal.find(requestId);
         runs += found == journal.end() ? 0 : found->second;
     }
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -95,6 +95,9 @@
     { "without a length, reset", { Unframed, false, true }, Broken, "", false },
     { "cut in its body", { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 9\r\n\r\nhi", true, false }, Broken, "",
         false },
+    { "cut in its chunks",
+        { "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", true, false }, Broken,
+        "", false },
     { "cut in its header", { "HTTP/1.1 200 OK\r\nRequ", true, false }, Broken, "", false },
     { "closed without a word", { "", true, false }, Broken, "", false },
     { "no HTTP at all", { "\x01\x02\x03 not an answer\r\n\r\n" }, Broken, "", false },
@@ -152,6 +155,22 @@
     CHECK(result == HttpExchangeResult::NotSent);
 }
 
+TEST(HttpExchange, AReusedConnectionThatClosesUnderTheRequestIsNoProofOfAnything)
+{
+    const ScriptedServer server({ "", true, false });
+    asio::io_context context;
+    asio::ip::tcp::socket opened(context);
+    opened.connect({ asio::ip::address_v4::loopback(), server.address().port });
+    opened.non_blocking(true);
+    HttpExchangeResult result = HttpExchangeResult::NotSent;
+    const auto exchange = std::make_shared<HttpExchange>(context,
+        HttpExchange::Options{ .address = server.address(), .request = "POST / HTTP/1.1\r\nHost: a\r\n\r\n" },
+        [&](const HttpExchangeEnd& end) { result = end.result; });
+    exchange->start(std::make_shared<HttpConnection>(std::move(opened)));
+    context.run();
+    CHECK(result == HttpExchangeResult::Broken);
+}
+
 TEST(HttpExchange, ACancelledExchangeSaysNothing)
 {
     const ScriptedServer server({ "" });
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -174,6 +174,24 @@
     CHECK(this->timesChosen("s1") > 0);
 }
 
+TEST(ServicePool, AContradictedReportCountsForNothing)
+{
+    this->pool.remove("s3");
+    const auto liar = this->pool.find("s1");
+    for (AttemptNumber attempt = 1; attempt <= 2; ++attempt)
+        liar->sent(attempt, { 900 });
+    liar->reported({ 0, 0, 3, 100 }, this->context.now);
+    CHECK_FALSE_TEXT(liar->reportIsTrusted(this->context.now), "two requests from here alone are there");
+    CHECK(liar->reportIsTrusted({ 5000 }));
+    const auto honest = this->pool.find("s2");
+    honest->sent(3, { 900 });
+    honest->reported({ 1, 0, 3, 100 }, this->context.now);
+    CHECK(honest->reportIsTrusted(this->context.now));
+    honest->sent(4, this->context.now);
+    honest->reported({ 1, 0, 3, 100 }, this->context.now);
+    CHECK_TEXT(honest->reportIsTrusted(this->context.now), "the last one may still be on its way");
+}
+
 TEST(ServicePool, KeepsWithinItsShareOfConnections)
 {
     this->pool.remove("s2");
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -27,12 +27,16 @@
                 this->onArrival(*arrived);
         }
         this->gone += std::holds_alternative<CallerGone>(event) ? 1 : 0;
-        this->early += std::holds_alternative<RefusedEarly>(event) ? 1 : 0;
+        if (const auto* refused = std::get_if<RefusedEarly>(&event)) {
+            ++this->early;
+            this->earlyReason = refused->reason;
+        }
     }
 
     std::vector<RequestArrived> arrived;
     std::size_t gone = 0;
     std::size_t early = 0;
+    RefusalReason earlyReason = RefusalReason::BadRequest;
     std::function<void(const RequestArrived&)> onArrival;
 };
 
@@ -175,6 +179,37 @@
     LONGS_EQUAL(0, this->desk->openRequests());
 }
 
+TEST(RequestDesk, ASessionTooManyIsCountedWithItsReason)
+{
+    this->configure();
+    this->desk->sessions().setMostSessions(1);
+    const asio::ip::tcp::socket first = this->connect();
+    const asio::ip::tcp::socket second = this->connect();
+    this->context.restart();
+    this->context.run_for(std::chrono::milliseconds(30));
+    LONGS_EQUAL(1, this->sink.early);
+    CHECK(this->sink.earlyReason == RefusalReason::TooManySessions);
+}
+
+TEST(RequestDesk, AnAnswerThatIsNotYetWrittenIsUnfinished)
+{
+    this->configure();
+    asio::ip::tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+    this->context.restart();
+    this->context.run_for(std::chrono::milliseconds(30));
+    LONGS_EQUAL(1, this->desk->sessions().unfinished());
+    this->desk->execute(RefuseRequest{ .request = this->sink.arrived.front().request,
+        .outcome = RefusedOutcome::NotRun,
+        .reason = RefusalReason::NoBackendServer,
+        .comeBackAfter = { 250 } });
+    LONGS_EQUAL_TEXT(0, this->desk->openRequests(), "the decisions are done with it");
+    LONGS_EQUAL_TEXT(1, this->desk->sessions().unfinished(), "the caller has not got it");
+    this->context.restart();
+    this->context.run_for(std::chrono::milliseconds(30));
+    LONGS_EQUAL(0, this->desk->sessions().unfinished());
+}
+
 TEST(RequestDesk, ClosesAfterTheAnswerOnceItStops)
 {
     this->configure();
--- a/Tests/Virtual/VirtualBackendServer.cpp
+++ b/Tests/Virtual/VirtualBackendServer.cpp
@@ -23,6 +23,8 @@
 
 LoadFigures VirtualBackendServer::figures() const
 {
+    if (this->reportIsFrozen)
+        return { .running = 0, .waiting = 0, .slots = static_cast<std::uint32_t>(this->options.slots) };
     const double factor = this->present == ServerFault::Slow ? SlowFactor : this->noise;
     return { .running = static_cast<std::uint32_t>(this->running.size()),
         .waiting = static_cast<std::uint32_t>(this->waiting.size()),
@@ -46,6 +48,8 @@
         || result == AttemptResult::RefusedNotRun;
     if (isAnswer) {
         word.end.load = this->figures();
+        if (this->leaving)
+            word.end.leaving = true;
         word.end.status = result == AttemptResult::Answered ? StatusOk : StatusFailed;
     }
     job.done(word);
--- a/Tests/Virtual/VirtualBackendServer.h
+++ b/Tests/Virtual/VirtualBackendServer.h
@@ -54,6 +54,10 @@
     std::optional<LoadFigures> probed() const;
 
     void setFault(ServerFault fault);
+    /** Tells figures of an idle server, whatever is there. */
+    void setFrozenReport(bool frozen) { this->reportIsFrozen = frozen; }
+    /** Says in its answers that it is leaving. */
+    void setLeaving(bool says) { this->leaving = says; }
     /** How many times longer work takes for a while, as by a noisy neighbour. */
     void setNoise(double factor) { this->noise = factor; }
     ServerFault fault() const { return this->present; }
@@ -79,6 +83,8 @@
     Random random;
     ServerFault present = ServerFault::None;
     double noise = 1;
+    bool leaving = false;
+    bool reportIsFrozen = false;
     std::uint64_t life = 0; // grows when all work is lost
     std::size_t arrivalCount = 0;
     std::map<std::uint64_t, Job> running;
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -52,6 +52,7 @@
 
     void addServer(const VirtualBackendServer::Options& options);
     VirtualBackendServer& server(const std::string& id) { return *this->servers.at(id); }
+    const VirtualBackendServer& server(const std::string& id) const { return *this->servers.at(id); }
     std::vector<std::string> serverIds() const;
 
     /** Writes the document to the store, as after an operator's change. */
