End no exchange by a connect timeout that fell due with the connection

Cause: cancelling a timer does not take back a handler that is already queued. A busy process found the connection and the connect timeout due in one look at its events: the request was written, then the old timeout ended the exchange as "not sent", and the request went to a second server. Ruled out: partial writes (async_write tells the bytes written, and only zero is taken for "not sent"); a late handler after the end (isOver is checked). Change: a limit has a number; only the one in force may end the exchange.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -49,11 +49,13 @@
 void HttpExchange::limitTime(Milliseconds span, HttpExchangeResult result)
 {
     this->timer.cancel();
+    // An earlier limit that is already due is called without an error all the same.
+    const unsigned limit = ++this->limitNumber;
     if (span == Never)
         return;
     this->timer.expires_after(toDuration(span));
-    this->timer.async_wait([self = this->shared_from_this(), result](const asio::error_code& error) {
-        if (!error && !self->isOver)
+    this->timer.async_wait([self = this->shared_from_this(), result, limit](const asio::error_code& error) {
+        if (!error && !self->isOver && limit == self->limitNumber)
             self->finish(result, std::nullopt);
     });
 }
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -77,6 +77,7 @@
     Completion completion;
     asio::io_context* context;
     asio::steady_timer timer;
+    unsigned limitNumber = 0; // the limit in force; earlier ones say nothing
     std::shared_ptr<HttpConnection> connection;
     std::optional<Parser> parser;
     static constexpr std::size_t ReadSize = 8192;
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <string>
 #include <thread>
@@ -155,6 +156,27 @@
     CHECK(result == HttpExchangeResult::NotSent);
 }
 
+TEST(HttpExchange, AConnectTimeoutThatIsDueTogetherWithTheConnectionEndsNothing)
+{
+    // A busy process finds both in one look at its events.
+    const ScriptedServer server({ Ok });
+    asio::io_context context;
+    HttpExchangeResult result = HttpExchangeResult::Broken;
+    const auto exchange = std::make_shared<HttpExchange>(context,
+        HttpExchange::Options{ .address = server.address(),
+            .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+            .connectTimeout = { 10 },
+            .timeout = { 2000 },
+            .isOwnAnswer = &isOwn },
+        [&](const HttpExchangeEnd& end) { result = end.result; });
+    asio::post(context, [&] {
+        exchange->start(nullptr);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    });
+    context.run();
+    CHECK(result == HttpExchangeResult::Answered);
+}
+
 TEST(HttpExchange, AReusedConnectionThatClosesUnderTheRequestIsNoProofOfAnything)
 {
     const ScriptedServer server({ "", true, false });
