Soak real processes under random faults, and mend two stalls that it found

The soak (Tests/Soak, Utilities/soak): store, backend servers, instances and callers as separate processes, a proxy on each way between them, 22 kinds of faults by signals, proxies and control ports, in overlapping series drawn from a seed. Checked: nothing ran twice, "not run" did not run, what was answered ran, every answer own and whole, no process ended by itself, every instance ready with the latest accepted change 15 s after healing, then everything answered; in every fourth seed only planned work, and nothing may be cut.

Cause: a server's last report said full, no request was under way there and none arrived, since all callers waited: nobody learned of its room until the waiting ended after 2.2 s. Change: a full server whose report is older than 300 ms and that has nothing from here is tried by one request. 2. Cause: a server that said it was leaving and stayed was never asked again, so three of four got nothing for ever. Change: it is probed every 2 s. Ruled out: the store (all instances had the newest revision), ejections (none). Tests: ServicePool/AFullServerOfWhichNothingIsHeardIsTriedByOneRequest, ServicePool/AServerThatSaidItWasLeavingIsAskedAgain.

--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -56,6 +56,8 @@
     bool hasConnectionLeft() const { return this->flights.size() < this->connectionShare; }
 
     bool isLeaving() const { return this->leaving; }
+    /** Nothing else than its sign says that it leaves. */
+    bool isLeavingByItsWord() const { return this->leaving && !this->description.draining && !this->replaced; }
     Milliseconds leavingSignAt() const { return this->leavingAt; }
     /** False for draining, leaving and replaced backend servers. */
     bool takesNewRequests() const;
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -7,6 +7,15 @@
 
 namespace burlreach {
 
+namespace {
+
+/** A full server whose report is older than this, and that has nothing from here, is tried by one request. */
+constexpr Milliseconds ReportHolds{ 300 };
+/** A server that said it was leaving is asked again so often whether it still is. */
+constexpr Milliseconds LeavingAskedAgain{ 2000 };
+
+}
+
 ServicePool::ServicePool(std::unique_ptr<RoutingPolicy> givenPolicy, Options givenOptions)
     : options(givenOptions)
     , policy(std::move(givenPolicy))
@@ -69,6 +78,9 @@
         return true;
     if (server.isResting(now) || (server.isOnTrial() && server.inFlight() > 0))
         return false;
+    // Nobody else may come to hear of its room while all wait for it here.
+    if (!server.inFlight() && now - server.report().at > ReportHolds)
+        return true;
     // Requests wait here, where they can still go to another server.
     return requests < this->crowdingEstimate.usefulSlots(server.slots());
 }
@@ -118,9 +130,20 @@
         if (context.now - server->report().at > freshFor)
             found.push_back(this->find(server->id()));
     }
+    if (auto leaving = this->leavingOfLongAgo(context.now))
+        found.push_back(std::move(leaving));
     return found;
 }
 
+std::shared_ptr<BackendServerState> ServicePool::leavingOfLongAgo(Milliseconds now) const
+{
+    const auto found = std::find_if(this->list.begin(), this->list.end(), [now](const auto& server) {
+        return server->isLeavingByItsWord() && now - server->leavingSignAt() > LeavingAskedAgain
+            && now - server->report().at > LeavingAskedAgain;
+    });
+    return found == this->list.end() ? nullptr : *found;
+}
+
 bool ServicePool::checkOutlier(BackendServerState& server, Milliseconds now)
 {
     return this->options.adaptive && this->outliers.check(server, this->list, now);
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -63,6 +63,8 @@
     double slots() const;
 
 private:
+    /** Only its own word keeps requests from it, and that is old: it may have stayed. */
+    std::shared_ptr<BackendServerState> leavingOfLongAgo(Milliseconds now) const;
     bool hasRoom(const BackendServerState& server, double requests, Milliseconds now) const;
     std::vector<BackendServerState*> takers(const ChoiceWish& wish, Milliseconds now) const;
     std::vector<BackendServerState*> filter(
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -209,6 +209,41 @@
     CHECK_TEXT(honest->reportIsTrusted(this->context.now), "the last one may still be on its way");
 }
 
+// All instances waited for a server of whose room nobody asked any more (soak, seed 2).
+TEST(ServicePool, AFullServerOfWhichNothingIsHeardIsTriedByOneRequest)
+{
+    ServicePool single(std::make_unique<LoadAwarePolicy>(), {});
+    single.put(record("only"), { 0 });
+    const auto server = single.find("only");
+    server->reported({ 3, 0, 3, 100 }, this->context.now);
+    CHECK_FALSE_TEXT(single.choose({}, this->context, this->random).server, "it is full");
+    this->context.now = this->context.now + Milliseconds{ 400 };
+    CHECK_TEXT(single.choose({}, this->context, this->random).server, "that was a while ago");
+    server->sent(1, this->context.now);
+    CHECK_FALSE_TEXT(single.choose({}, this->context, this->random).server, "one is on its way");
+}
+
+// Three of four servers that had spoken of leaving and stayed got nothing for ever (soak, seed 2).
+TEST(ServicePool, AServerThatSaidItWasLeavingIsAskedAgain)
+{
+    const auto server = this->pool.find("s1");
+    server->leavingSign(true, this->context.now);
+    const auto isAsked = [&](Milliseconds now) {
+        RoutingContext later = this->context;
+        later.now = now;
+        for (const auto& asked : this->pool.worthProbing(2, { 25 }, later, this->random)) {
+            if (asked == server)
+                return true;
+        }
+        return false;
+    };
+    CHECK_FALSE(isAsked(this->context.now + Milliseconds{ 1000 }));
+    CHECK(isAsked(this->context.now + Milliseconds{ 2100 }));
+    server->leavingSign(true, this->context.now + Milliseconds{ 2110 });
+    CHECK_FALSE_TEXT(isAsked(this->context.now + Milliseconds{ 2200 }), "it has just said so again");
+    CHECK_FALSE(server->takesNewRequests());
+}
+
 TEST(ServicePool, KeepsWithinItsShareOfConnections)
 {
     this->pool.remove("s2");
--- /dev/null
+++ b/Tests/Soak/FaultSoak.cc
@@ -0,0 +1,140 @@
+// The randomized fault soak: real processes on loopback, faults from outside by
+// signals, proxies and control ports of the stand-ins, promises checked from
+// what callers and backend servers saw. A line a seed; exits with 1 when a
+// promise was broken, and then keeps the folder with all logs.
+
+#include "Tests/Soak/SoakChecker.h"
+#include "Tests/Soak/SoakFleet.h"
+#include "Tests/Soak/SoakPlan.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+constexpr int CalmSeconds = 2;
+constexpr Milliseconds SettlePatience{ 15000 };
+
+struct SoakOptions {
+    std::string build;
+    std::string folder = "soak";
+    std::vector<std::uint64_t> seeds;
+    std::size_t instances = 3;
+    std::size_t servers = 4;
+    int seconds = 10;
+    std::uint16_t firstPort = 21000;
+};
+
+/** The beginning or the end of a step. */
+struct Moment {
+    Milliseconds at;
+    const SoakStep* step = nullptr;
+    bool isEnd = false;
+};
+
+std::vector<Moment> momentsOf(const std::vector<SoakStep>& steps)
+{
+    std::vector<Moment> moments;
+    for (const SoakStep& step : steps) {
+        moments.push_back({ .at = step.at, .step = &step, .isEnd = false });
+        moments.push_back({ .at = step.at + step.lasts, .step = &step, .isEnd = true });
+    }
+    std::stable_sort(
+        moments.begin(), moments.end(), [](const Moment& left, const Moment& right) { return left.at < right.at; });
+    return moments;
+}
+
+void play(SoakFleet& fleet, const std::vector<SoakStep>& steps)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    for (const Moment& moment : momentsOf(steps)) {
+        std::this_thread::sleep_until(begun
+            + std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                std::chrono::duration<double, std::milli>(moment.at.count)));
+        if (moment.isEnd)
+            fleet.end(*moment.step);
+        else
+            fleet.begin(*moment.step);
+    }
+}
+
+/** Plays one seed; gives what was broken. */
+std::vector<std::string> run(const SoakOptions& options, std::uint64_t seed, const std::string& folder)
+{
+    SoakFleet fleet({ .build = options.build,
+        .folder = folder,
+        .instances = options.instances,
+        .servers = options.servers,
+        .firstPort = options.firstPort });
+    if (!fleet.start())
+        return { "the fleet did not start" };
+    const std::vector<SoakStep> steps = planOf({ .seed = seed,
+        .instances = options.instances,
+        .servers = options.servers,
+        .length = { options.seconds * MillisecondsPerSecond } });
+    const auto callers = fleet.startCallers("run", options.seconds, seed);
+    play(fleet, steps);
+    callers->wait();
+    fleet.heal();
+    const bool hasSettled = fleet.settles(SettlePatience);
+    const auto calm = fleet.startCallers("calm", CalmSeconds, seed);
+    calm->wait();
+    SoakChecker checker(fleet);
+    const CallersResult told = SoakChecker::read(fleet.pathOf("run.json"));
+    const CallersResult afterwards = SoakChecker::read(fleet.pathOf("calm.json"));
+    checker.check(told);
+    checker.check(afterwards);
+    checker.checkAllAnswered(afterwards);
+    if (isPlannedOnly(seed))
+        checker.checkNothingCut(told);
+    if (!hasSettled)
+        checker.note("not every instance was ready with the latest accepted change after 15 s");
+    for (const std::string& name : fleet.failures())
+        checker.note(name + " ended by itself or with a failure");
+    std::cout << "seed " << seed << ": " << steps.size() << " faults,";
+    for (const auto& [outcome, count] : told.outcomes)
+        std::cout << ' ' << count << ' ' << outcome << ',';
+    std::cout << ' ' << checker.findings().size() << " broken\n" << std::flush;
+    return checker.findings();
+}
+
+bool playSeed(const SoakOptions& options, std::uint64_t seed)
+{
+    const std::string folder = options.folder + "/seed-" + std::to_string(seed);
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    const std::vector<std::string> broken = run(options, seed, folder);
+    for (const std::string& finding : broken)
+        std::cout << "BROKEN seed " << seed << ": " << finding << '\n';
+    if (broken.empty())
+        std::filesystem::remove_all(folder);
+    return broken.empty();
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App program("Plays random faults against real processes and checks what must hold");
+    SoakOptions options;
+    program.add_option("--build", options.build, "The build folder")->required();
+    program.add_option("--folder", options.folder, "For logs; those of broken seeds stay");
+    program.add_option("--seed", options.seeds, "Seeds to play")->required();
+    program.add_option("--instances", options.instances, "Instances of burlreach");
+    program.add_option("--servers", options.servers, "Backend servers");
+    program.add_option("--seconds", options.seconds, "Length of each run");
+    program.add_option("--first-port", options.firstPort, "The lowest port on 127.0.0.1");
+    CLI11_PARSE(program, argc, argv);
+    std::size_t failed = 0;
+    for (const std::uint64_t seed : options.seeds)
+        failed += playSeed(options, seed) ? 0 : 1;
+    std::cout << options.seeds.size() - failed << " passed, " << failed << " failed\n";
+    return failed ? 1 : 0;
+}
--- /dev/null
+++ b/Tests/Soak/SoakChecker.cpp
@@ -0,0 +1,74 @@
+#include "Tests/Soak/SoakChecker.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace burlreach {
+
+namespace {
+
+constexpr const char* Answered = "answered";
+constexpr const char* Foreign = "not its own or not whole";
+constexpr const char* Cut = "cut: ";
+
+}
+
+SoakChecker::SoakChecker(const SoakFleet& fleet)
+{
+    for (std::size_t server = 0; server < fleet.servers(); ++server) {
+        std::ifstream journal(fleet.journalPath(server));
+        for (std::string id; std::getline(journal, id);)
+            ++this->runs[id];
+    }
+}
+
+CallersResult SoakChecker::read(const std::string& path)
+{
+    CallersResult told;
+    std::ifstream file(path);
+    const nlohmann::json result = nlohmann::json::parse(file, nullptr, false);
+    if (result.is_discarded())
+        return told;
+    told.outcomes = result.value("outcomes", told.outcomes);
+    told.answeredBookings = result.value("answered_bookings", told.answeredBookings);
+    told.notRunBookings = result.value("not_run_bookings", told.notRunBookings);
+    return told;
+}
+
+void SoakChecker::check(const CallersResult& told)
+{
+    if (!told.outcomes.contains(Answered))
+        this->note("no request was answered");
+    if (told.outcomes.contains(Foreign))
+        this->note("an answer was another request's or not whole");
+    for (const auto& [id, count] : this->runs) {
+        if (count > 1)
+            this->note("ran twice: " + id);
+    }
+    for (const std::string& id : told.answeredBookings) {
+        if (!this->runs.contains(id))
+            this->note("answered and in no journal: " + id);
+    }
+    for (const std::string& id : told.notRunBookings) {
+        if (this->runs.contains(id))
+            this->note("told not run and ran: " + id);
+    }
+}
+
+void SoakChecker::checkNothingCut(const CallersResult& told)
+{
+    for (const auto& [outcome, count] : told.outcomes) {
+        if (outcome.starts_with(Cut))
+            this->note(std::to_string(count) + " requests were cut by planned work (" + outcome + ")");
+    }
+}
+
+void SoakChecker::checkAllAnswered(const CallersResult& told)
+{
+    for (const auto& [outcome, count] : told.outcomes) {
+        if (outcome != Answered)
+            this->note("after all faults: " + std::to_string(count) + " requests ended as " + outcome);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakChecker.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Tests/Soak/SoakFleet.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace burlreach {
+
+/** What callers were told, as their stand-in wrote it. */
+struct CallersResult {
+    std::map<std::string, int> outcomes;
+    std::vector<std::string> answeredBookings;
+    std::vector<std::string> notRunBookings;
+};
+
+/** Compares what callers were told with what the backend servers' journals hold. */
+class SoakChecker {
+public:
+    explicit SoakChecker(const SoakFleet& fleet);
+
+    static CallersResult read(const std::string& path);
+    /** The promises that hold whatever fails. */
+    void check(const CallersResult& told);
+    /** Nobody may be cut, as far as only planned work went on. */
+    void checkNothingCut(const CallersResult& told);
+    /** Everything was answered: no fault is left. */
+    void checkAllAnswered(const CallersResult& told);
+    void note(const std::string& broken) { this->broken.push_back(broken); }
+    const std::vector<std::string>& findings() const { return this->broken; }
+
+private:
+    std::map<std::string, int> runs; // by request id
+    std::vector<std::string> broken;
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakFleet.cpp
@@ -0,0 +1,397 @@
+#include "Tests/Soak/SoakFleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int CallSeconds = 2;
+constexpr auto Pause = std::chrono::milliseconds(50);
+constexpr Milliseconds StartPatience{ 15000 };
+constexpr std::size_t SeedInstances = 3;
+constexpr std::size_t DataCentres = 3;
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+template <typename Condition>
+bool waitFor(Milliseconds patience, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double, std::milli>(patience.count);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(Pause);
+    }
+    return true;
+}
+
+/** The largest number behind a text in a file. */
+std::uint64_t largestBehind(const std::string& path, const std::string& text)
+{
+    std::ifstream file(path);
+    std::uint64_t largest = 0;
+    for (std::string line; std::getline(file, line);) {
+        const auto place = line.find(text);
+        if (place != std::string::npos)
+            largest = std::max<std::uint64_t>(largest, std::strtoull(line.c_str() + place + text.size(), nullptr, 10));
+    }
+    return largest;
+}
+
+}
+
+SoakFleet::SoakFleet(const Options& givenOptions)
+    : options(givenOptions)
+    , work(asio::make_work_guard(this->context))
+    , store(this->program("store",
+          { this->options.build + "/StandIns/StoreStandIn", "--port", std::to_string(this->port(Part::Store)) }))
+    , instances(givenOptions.instances)
+    , backendServers(givenOptions.servers)
+{
+    for (std::size_t index = 0; index < this->backendServers.size(); ++index)
+        this->addServer(index);
+    for (std::size_t index = 0; index < this->instances.size(); ++index)
+        this->addInstance(index);
+    this->proxies = std::thread([this] { this->context.run(); });
+}
+
+SoakFleet::~SoakFleet()
+{
+    this->change.reset();
+    for (Instance& instance : this->instances)
+        instance.process.reset();
+    for (Server& server : this->backendServers)
+        server.process.reset();
+    this->store.reset();
+    this->context.stop();
+    this->proxies.join();
+}
+
+std::uint16_t SoakFleet::port(Part part, std::size_t index) const
+{
+    return static_cast<std::uint16_t>(this->options.firstPort + static_cast<std::uint16_t>(part) + index);
+}
+
+std::string SoakFleet::journalPath(std::size_t server) const
+{
+    return this->pathOf("journal-" + std::to_string(server));
+}
+
+std::unique_ptr<ChildProcess> SoakFleet::program(const std::string& name, std::vector<std::string> command) const
+{
+    return std::make_unique<ChildProcess>(
+        ChildProcess::Options{ .command = std::move(command), .logPath = this->pathOf(name + ".log") });
+}
+
+void SoakFleet::addServer(std::size_t index)
+{
+    const std::string name = "offers-" + std::to_string(index);
+    Server& server = this->backendServers[index];
+    server.process = this->program(name,
+        { this->options.build + "/StandIns/BackendServerStandIn", "--name", name, "--port",
+            std::to_string(this->port(Part::Server, index)), "--journal", this->journalPath(index) });
+    server.proxy = std::make_unique<LoopbackProxy>(this->context,
+        LoopbackProxy::Options{
+            .port = this->port(Part::ServerProxy, index), .targets = { this->port(Part::Server, index) } });
+}
+
+void SoakFleet::addInstance(std::size_t index)
+{
+    const std::string name = "entry-" + std::to_string(index);
+    Instance& instance = this->instances[index];
+    this->writeSettings(index);
+    instance.process = this->program(
+        name, { this->options.build + "/burlreach", "serve", "--settings", this->pathOf(name + ".json") });
+    // Connections to an instance that is away go to the next one.
+    std::vector<std::uint16_t> targets;
+    for (std::size_t step = 0; step < this->instances.size(); ++step)
+        targets.push_back(this->port(Part::Callers, (index + step) % this->instances.size()));
+    instance.callers = std::make_unique<LoopbackProxy>(
+        this->context, LoopbackProxy::Options{ .port = this->port(Part::CallersProxy, index), .targets = targets });
+    instance.store = std::make_unique<LoopbackProxy>(this->context,
+        LoopbackProxy::Options{ .port = this->port(Part::StoreProxy, index), .targets = { this->port(Part::Store) } });
+}
+
+void SoakFleet::writeSettings(std::size_t index) const
+{
+    nlohmann::json seeds = nlohmann::json::array();
+    for (std::size_t seed = 0; seed < std::min(SeedInstances, this->options.instances); ++seed)
+        seeds.push_back(local(this->port(Part::Peers, seed)));
+    const std::string name = "entry-" + std::to_string(index);
+    const nlohmann::json settings{
+        { "instance", { { "name", name }, { "dataCentre", "dc-" + std::to_string(index % DataCentres) } } },
+        { "listen",
+            { { "callers", local(this->port(Part::Callers, index)) },
+                { "operators", local(this->port(Part::Operators, index)) },
+                { "peers", local(this->port(Part::Peers, index)) } } },
+        { "store", { { "address", local(this->port(Part::StoreProxy, index)) } } },
+        { "seeds", seeds },
+        { "stop", { { "bound", "10s" }, { "readinessLead", "300ms" } } },
+        { "retries", { { "share", 0.2 }, { "slack", 64 } } },
+        { "log", { { "format", "json" } } },
+    };
+    std::ofstream(this->pathOf(name + ".json")) << settings.dump(1) << '\n';
+}
+
+bool SoakFleet::control(std::size_t instance, std::vector<std::string> words, const std::string& log) const
+{
+    std::vector<std::string> command{ this->options.build + "/burlreach", "ctl", "--address",
+        local(this->port(Part::Operators, instance)) };
+    command.insert(command.end(), words.begin(), words.end());
+    const auto call = this->program(log, std::move(command));
+    call->start();
+    call->expectEnd();
+    call->wait();
+    return !call->hasFailed();
+}
+
+bool SoakFleet::configure() const
+{
+    const std::string log = "changes";
+    const bool isCreated = waitFor(StartPatience, [&] {
+        return this->control(0, { "create-service", "--service", "bookings", "--host", "bookings.example" }, log);
+    });
+    for (std::size_t server = 0; isCreated && server < this->options.servers; ++server) {
+        const bool isNamed = this->control(0,
+            { "name-backend-server", "--service", "bookings", "--name", "offers-" + std::to_string(server), "--ip",
+                "127.0.0.1", "--port", std::to_string(this->port(Part::ServerProxy, server)), "--data-centre",
+                "dc-" + std::to_string(server % DataCentres), "--slots", "3" },
+            log);
+        if (!isNamed)
+            return false;
+    }
+    return isCreated;
+}
+
+bool SoakFleet::start()
+{
+    this->store->start();
+    for (Server& server : this->backendServers)
+        server.process->start();
+    for (Instance& instance : this->instances)
+        instance.process->start();
+    return this->configure() && this->settles(StartPatience);
+}
+
+bool SoakFleet::isReady(std::size_t instance) const
+{
+    httplib::Client client("127.0.0.1", this->port(Part::Operators, instance));
+    client.set_read_timeout(CallSeconds);
+    const auto answer = client.Get("/ready");
+    return answer && answer->status == StatusOk;
+}
+
+std::uint64_t SoakFleet::latestAccepted() const
+{
+    return largestBehind(this->pathOf("changes.log"), "CHANGE_ACCEPTED, revision ");
+}
+
+std::uint64_t SoakFleet::revisionOf(std::size_t instance) const
+{
+    const std::string name = "shown-" + std::to_string(instance);
+    this->control(instance, { "list-services" }, name);
+    return largestBehind(this->pathOf(name + ".log"), "revision: ");
+}
+
+bool SoakFleet::settles(Milliseconds patience)
+{
+    if (this->change)
+        this->change->wait();
+    return waitFor(patience, [this] {
+        for (std::size_t index = 0; index < this->instances.size(); ++index) {
+            if (!this->isReady(index) || this->revisionOf(index) < this->latestAccepted())
+                return false;
+        }
+        return true;
+    });
+}
+
+void SoakFleet::setFault(std::uint16_t port, const std::string& name)
+{
+    httplib::Client client("127.0.0.1", port);
+    client.set_connection_timeout(CallSeconds);
+    client.set_read_timeout(CallSeconds);
+    client.Put("/control/fault/" + name, "", "text/plain");
+}
+
+void SoakFleet::changeConfiguration(std::size_t instance)
+{
+    if (this->change && this->change->isRunning())
+        return;
+    static constexpr std::size_t Percents = 20;
+    const std::string percent = std::to_string(10 + instance % Percents);
+    this->change = this->program("changes",
+        { this->options.build + "/burlreach", "ctl", "--address", local(this->port(Part::Operators, instance)),
+            "set-limits", "--service", "bookings", "--retry-percent", percent });
+    this->change->start();
+    this->change->expectEnd();
+}
+
+void SoakFleet::begin(const SoakStep& step)
+{
+    const std::size_t index = step.target % this->instances.size();
+    Instance& instance = this->instances[index];
+    const std::size_t serverIndex = step.target % this->backendServers.size();
+    Server& server = this->backendServers[serverIndex];
+    const std::uint16_t serverPort = this->port(Part::Server, serverIndex);
+    const std::uint16_t storePort = this->port(Part::Store);
+    switch (step.fault) {
+    case SoakFault::KillInstance:
+        return instance.process->kill();
+    case SoakFault::StopInstance:
+        instance.process->expectEnd();
+        return instance.process->signal(SIGTERM);
+    case SoakFault::PauseInstance:
+        return instance.process->signal(SIGSTOP);
+    case SoakFault::ReloadInstance:
+        return instance.process->signal(SIGHUP);
+    case SoakFault::ResetCallers:
+        return instance.callers->reset();
+    case SoakFault::CutStore:
+        return instance.store->setFault(ProxyFault::Silent);
+    case SoakFault::CutStoreOneWay:
+        return instance.store->setFault(ProxyFault::SilentBack);
+    case SoakFault::RefuseStore:
+        return instance.store->setFault(ProxyFault::Refuse);
+    case SoakFault::StoreDown:
+        return setFault(storePort, "down");
+    case SoakFault::StoreSlow:
+        return setFault(storePort, "slow");
+    case SoakFault::StoreLosesAnswers:
+        return setFault(storePort, "lose-answers");
+    case SoakFault::StoreForgets:
+        return setFault(storePort, "forget-history");
+    case SoakFault::KillServer:
+        return server.process->kill();
+    case SoakFault::PauseServer:
+        return server.process->signal(SIGSTOP);
+    case SoakFault::ServerSheds:
+        return setFault(serverPort, "shed");
+    case SoakFault::ServerCutsAnswers:
+        return setFault(serverPort, "cut");
+    case SoakFault::LeavingServer:
+        return setFault(serverPort, "leaving");
+    case SoakFault::SilenceServer:
+        return server.proxy->setFault(ProxyFault::Silent);
+    case SoakFault::SilenceServerBack:
+        return server.proxy->setFault(ProxyFault::SilentBack);
+    case SoakFault::DelayServer:
+        return server.proxy->setFault(ProxyFault::Delay);
+    case SoakFault::ResetServer:
+        return server.proxy->reset();
+    case SoakFault::ChangeConfiguration:
+        return this->changeConfiguration(index);
+    case SoakFault::Count:
+        return;
+    }
+}
+
+void SoakFleet::end(const SoakStep& step)
+{
+    Instance& instance = this->instances[step.target % this->instances.size()];
+    const std::size_t serverIndex = step.target % this->backendServers.size();
+    Server& server = this->backendServers[serverIndex];
+    switch (step.fault) {
+    case SoakFault::KillInstance:
+    case SoakFault::StopInstance:
+        // One that still stops is started again when the run heals.
+        if (!instance.process->isRunning())
+            instance.process->start();
+        return;
+    case SoakFault::PauseInstance:
+        return instance.process->signal(SIGCONT);
+    case SoakFault::CutStore:
+    case SoakFault::CutStoreOneWay:
+    case SoakFault::RefuseStore:
+        return instance.store->setFault(ProxyFault::None);
+    case SoakFault::StoreDown:
+    case SoakFault::StoreSlow:
+    case SoakFault::StoreLosesAnswers:
+        return setFault(this->port(Part::Store), "none");
+    case SoakFault::KillServer:
+        if (!server.process->isRunning())
+            server.process->start();
+        return;
+    case SoakFault::PauseServer:
+        return server.process->signal(SIGCONT);
+    case SoakFault::ServerSheds:
+    case SoakFault::ServerCutsAnswers:
+    case SoakFault::LeavingServer:
+        return setFault(this->port(Part::Server, serverIndex), "none");
+    case SoakFault::SilenceServer:
+    case SoakFault::SilenceServerBack:
+    case SoakFault::DelayServer:
+        return server.proxy->setFault(ProxyFault::None);
+    case SoakFault::ReloadInstance:
+    case SoakFault::ResetCallers:
+    case SoakFault::StoreForgets:
+    case SoakFault::ResetServer:
+    case SoakFault::ChangeConfiguration:
+    case SoakFault::Count:
+        return;
+    }
+}
+
+void SoakFleet::heal()
+{
+    setFault(this->port(Part::Store), "none");
+    for (std::size_t index = 0; index < this->backendServers.size(); ++index) {
+        Server& server = this->backendServers[index];
+        server.process->signal(SIGCONT);
+        server.proxy->setFault(ProxyFault::None);
+        if (!server.process->isRunning())
+            server.process->start();
+        setFault(this->port(Part::Server, index), "none");
+    }
+    for (Instance& instance : this->instances) {
+        instance.process->signal(SIGCONT);
+        instance.store->setFault(ProxyFault::None);
+        if (!instance.process->isRunning())
+            instance.process->start();
+    }
+}
+
+std::unique_ptr<ChildProcess> SoakFleet::startCallers(const std::string& name, int seconds, std::uint64_t seed) const
+{
+    std::vector<std::string> command{ this->options.build + "/StandIns/CallerStandIn", "--prefix",
+        name + "-" + std::to_string(seed), "--sessions", "8", "--seconds", std::to_string(seconds), "--booking-percent",
+        "50", "--pause-milliseconds", "4", "--output", this->pathOf(name + ".json") };
+    for (std::size_t index = 0; index < this->instances.size(); ++index) {
+        command.emplace_back("--port");
+        command.push_back(std::to_string(this->port(Part::CallersProxy, index)));
+    }
+    auto callers = this->program(name, std::move(command));
+    callers->start();
+    callers->expectEnd();
+    return callers;
+}
+
+std::vector<std::string> SoakFleet::failures()
+{
+    std::vector<std::string> found;
+    if (this->store->hasFailed())
+        found.emplace_back("store");
+    for (std::size_t index = 0; index < this->instances.size(); ++index) {
+        if (this->instances[index].process->hasFailed())
+            found.push_back("entry-" + std::to_string(index));
+    }
+    for (std::size_t index = 0; index < this->backendServers.size(); ++index) {
+        if (this->backendServers[index].process->hasFailed())
+            found.push_back("offers-" + std::to_string(index));
+    }
+    return found;
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakFleet.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Tests/Soak/ChildProcess.h"
+#include "Tests/Soak/LoopbackProxy.h"
+#include "Tests/Soak/SoakPlan.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace burlreach {
+
+/**
+ * Real processes on loopback: the store, backend servers, instances of
+ * burlreach and callers, with a proxy on each way between them.
+ */
+class SoakFleet {
+public:
+    struct Options {
+        std::string build; // the build folder
+        std::string folder; // for settings, logs, journals and results
+        std::size_t instances = 3;
+        std::size_t servers = 4;
+        std::uint16_t firstPort = 21000;
+    };
+
+    explicit SoakFleet(const Options& options);
+    ~SoakFleet();
+    SoakFleet(const SoakFleet&) = delete;
+    SoakFleet& operator=(const SoakFleet&) = delete;
+
+    /** Starts everything and configures the service; false when that does not come about. */
+    bool start();
+    void begin(const SoakStep& step);
+    void end(const SoakStep& step);
+    /** Ends all faults and starts what does not run. */
+    void heal();
+    /** Waits until every instance is ready and has the latest change. */
+    bool settles(Milliseconds patience);
+
+    /** Callers with the load of a run; their result goes to NAME.json. */
+    std::unique_ptr<ChildProcess> startCallers(const std::string& name, int seconds, std::uint64_t seed) const;
+    std::string journalPath(std::size_t server) const;
+    std::string pathOf(const std::string& name) const { return this->options.folder + "/" + name; }
+    std::size_t servers() const { return this->options.servers; }
+    /** Names of programs that ended by themselves. */
+    std::vector<std::string> failures();
+
+private:
+    struct Instance {
+        std::unique_ptr<ChildProcess> process;
+        std::unique_ptr<LoopbackProxy> callers;
+        std::unique_ptr<LoopbackProxy> store;
+        bool isStopping = false;
+    };
+
+    struct Server {
+        std::unique_ptr<ChildProcess> process;
+        std::unique_ptr<LoopbackProxy> proxy;
+    };
+
+    /** What stands at a port, by its place in the plan of ports. */
+    enum class Part : std::uint16_t {
+        Store = 0,
+        StoreProxy = 10,
+        Server = 100,
+        ServerProxy = 200,
+        Callers = 300,
+        CallersProxy = 400,
+        Operators = 500,
+        Peers = 600
+    };
+
+    std::uint16_t port(Part part, std::size_t index = 0) const;
+    std::unique_ptr<ChildProcess> program(const std::string& name, std::vector<std::string> command) const;
+    void addInstance(std::size_t index);
+    void addServer(std::size_t index);
+    void writeSettings(std::size_t index) const;
+    bool control(std::size_t instance, std::vector<std::string> words, const std::string& log) const;
+    bool configure() const;
+    void changeConfiguration(std::size_t instance);
+    bool isReady(std::size_t instance) const;
+    std::uint64_t latestAccepted() const;
+    std::uint64_t revisionOf(std::size_t instance) const;
+    static void setFault(std::uint16_t port, const std::string& name);
+
+    Options options;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::thread proxies;
+    std::unique_ptr<ChildProcess> store;
+    std::vector<Instance> instances;
+    std::vector<Server> backendServers;
+    std::unique_ptr<ChildProcess> change; // under way
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakPlan.cpp
@@ -0,0 +1,64 @@
+#include "Tests/Soak/SoakPlan.h"
+
+#include "Base/Random.h"
+
+#include <algorithm>
+#include <array>
+
+namespace burlreach {
+
+namespace {
+
+constexpr auto FaultCount = static_cast<std::size_t>(SoakFault::Count);
+constexpr std::array<std::string_view, FaultCount> Names{ "kill-instance", "stop-instance", "pause-instance",
+    "reload-instance", "reset-callers", "cut-store", "cut-store-one-way", "refuse-store", "store-down", "store-slow",
+    "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
+    "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server" };
+constexpr std::array<SoakFault, 4> Planned{ SoakFault::StopInstance, SoakFault::ReloadInstance,
+    SoakFault::ChangeConfiguration, SoakFault::LeavingServer };
+
+constexpr std::uint64_t PlannedOnlyEach = 4;
+constexpr Milliseconds FirstStep{ 500 };
+constexpr Milliseconds LongestGap{ 900 };
+constexpr Milliseconds ShortestFault{ 200 };
+constexpr Milliseconds LongestFault{ 2500 };
+/** Of the steps, those that follow a like one at once. */
+constexpr double SeriesShare = 0.25;
+constexpr Milliseconds SeriesGap{ 40 };
+
+SoakFault drawFault(bool isPlanned, Random& random)
+{
+    return isPlanned ? Planned[random.below(Planned.size())] : static_cast<SoakFault>(random.below(FaultCount));
+}
+
+}
+
+std::string_view nameOf(SoakFault fault)
+{
+    return Names[static_cast<std::size_t>(fault)];
+}
+
+bool isPlannedOnly(std::uint64_t seed)
+{
+    return seed % PlannedOnlyEach == 0;
+}
+
+std::vector<SoakStep> planOf(const SoakPlanOptions& options)
+{
+    Random random(options.seed);
+    std::vector<SoakStep> steps;
+    Milliseconds at = FirstStep;
+    while (at < options.length) {
+        const bool isSeries = !steps.empty() && random.unit() < SeriesShare;
+        SoakStep step;
+        step.fault = isSeries ? steps.back().fault : drawFault(isPlannedOnly(options.seed), random);
+        step.target = random.below(options.instances * options.servers);
+        step.at = at;
+        step.lasts = ShortestFault + (LongestFault - ShortestFault) * random.unit();
+        steps.push_back(step);
+        at = at + (isSeries ? SeriesGap : LongestGap * random.unit());
+    }
+    return steps;
+}
+
+}
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <fstream>
 #include <httplib.h>
 #include <map>
 #include <mutex>
@@ -25,6 +26,7 @@
     int slots = 3;
     int queue = 100;
     double serviceMilliseconds = 2;
+    std::string journalPath; // empty: the journal is in memory only
 };
 
 class BackendServerStandIn {
@@ -32,6 +34,8 @@
     explicit BackendServerStandIn(Options givenOptions)
         : options(std::move(givenOptions))
     {
+        if (!this->options.journalPath.empty())
+            this->journalFile.open(this->options.journalPath, std::ios::app);
         this->server.new_task_queue = [] { return new httplib::ThreadPool(ThreadCount); };
         this->server.set_keep_alive_max_count(EndlessKeepAlive);
         this->server.set_keep_alive_timeout(60);
@@ -108,6 +112,9 @@
         if (request.method != "GET" && !requestId.empty()) {
             const std::lock_guard lock(this->mutex);
             ++this->journal[requestId];
+            // A later life of this server may not forget what ran.
+            if (this->journalFile.is_open())
+                this->journalFile << requestId << '\n' << std::flush;
         }
         this->work();
         this->leave();
@@ -152,6 +159,7 @@
     int waiting = 0;
     std::string fault;
     std::map<std::string, int> journal;
+    std::ofstream journalFile;
 };
 
 }
@@ -165,6 +173,7 @@
     program.add_option("--slots", options.slots, "Requests worked on at once");
     program.add_option("--queue", options.queue, "Requests waiting before it sheds");
     program.add_option("--service-milliseconds", options.serviceMilliseconds, "Time for one request");
+    program.add_option("--journal", options.journalPath, "File to which the ids of runs are appended");
     CLI11_PARSE(program, argc, argv);
     BackendServerStandIn standIn(options);
     return standIn.listen() ? 0 : 1;
--- a/Tests/StandIns/CallerStandIn.cc
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <httplib.h>
 #include <iostream>
 #include <map>
@@ -26,6 +27,7 @@
     int bookingPercent = 20;
     double pauseMilliseconds = 0;
     int seconds = 0;
+    std::string output; // a file; empty: standard output
 };
 
 struct Tally {
@@ -167,6 +169,7 @@
     program.add_option("--seconds", options.seconds, "Send for so long instead");
     program.add_option("--booking-percent", options.bookingPercent, "Share of bookings");
     program.add_option("--pause-milliseconds", options.pauseMilliseconds, "Between two requests of a session");
+    program.add_option("--output", options.output, "File for the result");
     CLI11_PARSE(program, argc, argv);
     Tally tally = CallerStandIn(options).run();
     const std::size_t answered = tally.milliseconds.size();
@@ -181,6 +184,9 @@
         { "answered_bookings", tally.answeredBookings },
         { "not_run_bookings", tally.notRunBookings },
     };
-    std::cout << result.dump(1) << '\n';
+    if (options.output.empty())
+        std::cout << result.dump(1) << '\n';
+    else
+        std::ofstream(options.output) << result.dump(1) << '\n';
     return 0;
 }
