Let one request try a full pool only where nothing at all is heard

Under overload each instance has servers with reports older than 300 ms all the time and sent one request to each of them, past the queue and its ranks. Change: only where no server of the pool was heard for 300 ms, none has anything from here and none rests after a refusal.

--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** A full server whose report is older than this, and that has nothing from here, is tried by one request. */
-constexpr Milliseconds ReportHolds{ 300 };
+/** Where all are full, but no server was heard for so long and none has anything from here, one request tries. */
+constexpr Milliseconds SilentPool{ 300 };
 /** A server that said it was leaving is asked again so often whether it still is. */
 constexpr Milliseconds LeavingAskedAgain{ 2000 };
 
@@ -78,9 +78,6 @@
         return true;
     if (server.isResting(now) || (server.isOnTrial() && server.inFlight() > 0))
         return false;
-    // Nobody else may come to hear of its room while all wait for it here.
-    if (!server.inFlight() && now - server.report().at > ReportHolds)
-        return true;
     // Requests wait here, where they can still go to another server.
     return requests < this->crowdingEstimate.usefulSlots(server.slots());
 }
@@ -93,9 +90,10 @@
 
 Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
 {
-    auto candidates = this->takers(wish, context.now);
-    if (candidates.empty())
+    const auto takers = this->takers(wish, context.now);
+    if (takers.empty())
         return { .server = nullptr, .reason = NoChoice::NobodyTakes };
+    auto candidates = takers;
     const PoolLoad pool = poolLoadOf(candidates);
     std::erase_if(candidates, [&](const BackendServerState* server) {
         const double requests = expectedLoadOf(*server, pool, context.now).requests;
@@ -107,6 +105,9 @@
         if (hasOthers)
             std::erase_if(candidates, [](const BackendServerState* server) { return server->isOnTrial(); });
     }
+    // Else all would wait here for room of which nobody comes to hear.
+    if (candidates.empty() && this->isSilent(context.now))
+        candidates = takers;
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Full };
     const BackendServerState* chosen = this->policy->choose(candidates, context, random);
@@ -135,6 +136,13 @@
     return found;
 }
 
+bool ServicePool::isSilent(Milliseconds now) const
+{
+    return std::all_of(this->list.begin(), this->list.end(), [now](const auto& server) {
+        return !server->inFlight() && !server->isResting(now) && now - server->report().at > SilentPool;
+    });
+}
+
 std::shared_ptr<BackendServerState> ServicePool::leavingOfLongAgo(Milliseconds now) const
 {
     const auto found = std::find_if(this->list.begin(), this->list.end(), [now](const auto& server) {
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -65,6 +65,8 @@
 private:
     /** Only its own word keeps requests from it, and that is old: it may have stayed. */
     std::shared_ptr<BackendServerState> leavingOfLongAgo(Milliseconds now) const;
+    /** Nothing is under way at any server, and none was heard lately. */
+    bool isSilent(Milliseconds now) const;
     bool hasRoom(const BackendServerState& server, double requests, Milliseconds now) const;
     std::vector<BackendServerState*> takers(const ChoiceWish& wish, Milliseconds now) const;
     std::vector<BackendServerState*> filter(
