Introduce members to wanted watchers only, by one instance

Cause: while the store turned machines away everybody watched for a moment, and each told each new watcher of all members: 142 x 142 lists of 11 KB. Ruled out: changes (few), readings of the store (27 machines logged: 4 watched). Change: the leading watcher introduces members, others only where they know of no further watcher, and only to one that is among the wanted; hellos also go to watchers that were only named, if they go before those that were heard, or those that began to watch apart would never hear of each other. Failed try: introductions alone left 7 and more watching 6 s after the outage. Test Fleet/AnOutageOfTheStoreCostsALargeFleetFewBytes (failed first, both ways).

--- a/Source/Membership/WatchDuty.cpp
+++ b/Source/Membership/WatchDuty.cpp
@@ -155,9 +155,18 @@
 std::vector<peers::Member> WatchDuty::watchers(Milliseconds now) const
 {
     std::vector<peers::Member> found;
+    Rank last{ .weakness = ~0U, .hash = ~0ULL };
+    std::size_t heard = 0;
+    std::size_t unheard = 0;
     for (const Watcher* watcher : this->ranked(now)) {
-        if (found.size() < this->options.wanted)
-            found.push_back(watcher->member);
+        const bool isHeard = this->isActive(*watcher, now);
+        std::size_t& count = isHeard ? heard : unheard;
+        // One that others named is worth a hello when it goes before those that were heard.
+        if (count >= this->options.wanted || (!isHeard && heard >= this->options.wanted && last < watcher->rank))
+            continue;
+        ++count;
+        last = isHeard ? watcher->rank : last;
+        found.push_back(watcher->member);
     }
     return found;
 }
--- a/Source/Membership/WatchDuty.h
+++ b/Source/Membership/WatchDuty.h
@@ -48,7 +48,11 @@
 
     /** No better placed watcher was heard: this one's news hold the changes themselves. */
     bool leads(Milliseconds now) const;
-    /** Instances to which this one says that it wants their news: as many as are wanted, the best first. */
+    /**
+     * Instances to which this one says that it wants their news: as many as are
+     * wanted of those that were heard, the best first, and of those only named
+     * by others that go before them.
+     */
     std::vector<peers::Member> watchers(Milliseconds now) const;
     /** The best of those that were heard themselves. Only they are named to others, or a name would be passed round for
      * ever. */
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -178,12 +178,13 @@
     if (origin.name() == this->options.self.incarnation().name() || !this->isNewer(news, now))
         return;
     this->relay(news, actions);
-    if (!this->duty.knows(origin))
-        this->introduceMembers(news.origin(), now, actions);
+    const bool isNewWatcher = !this->duty.knows(origin);
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
     this->duty.heardWatcher(news.origin(), news.is_confirmed() ? now - age : LongAgo, now);
     for (const peers::Member& watcher : news.watchers())
         this->duty.toldOfWatcher(watcher, now);
+    if (isNewWatcher)
+        this->introduceMembers(news.origin(), now, actions);
     this->members.heard(news.origin(), news.store_revision(), now);
     for (const peers::Member& contact : news.contacts())
         this->contacts.learn(addressOf(contact));
@@ -199,6 +200,13 @@
 
 void NewsExchange::introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const
 {
+    // Where everybody watches for a moment, everybody would tell everybody of all.
+    const auto wanted = this->duty.watchers(now);
+    const bool isWanted = std::any_of(wanted.begin(), wanted.end(),
+        [&](const peers::Member& item) { return item.incarnation().name() == watcher.incarnation().name(); });
+    const bool isOthersTask = !this->duty.leads(now) || !this->parts.store->isWatching();
+    if (!isWanted || (isOthersTask && wanted.size() > 1))
+        return;
     const auto& list = this->members.members();
     const bool knowsOthers = std::any_of(list.begin(), list.end(),
         [&](const KnownMember& known) { return !this->duty.knows(known.member.incarnation()); });
--- a/Tests/Node/FleetTest.cpp
+++ b/Tests/Node/FleetTest.cpp
@@ -192,6 +192,29 @@
     CHECK(fleet.peerBytes() - before < 2 * needed);
 }
 
+// While the store was away everybody watched for a moment, and everybody told
+// every new watcher of all the others.
+TEST(Fleet, AnOutageOfTheStoreCostsALargeFleetFewBytes)
+{
+    constexpr std::size_t instances = 142;
+    constexpr std::size_t bytesOfOneASecond = 4096;
+    VirtualFleet fleet(fleetOf(instances));
+    addServers(fleet, 20);
+    fleet.startAll();
+    fleet.run({ 10000 });
+    const std::size_t before = fleet.peerBytes();
+    fleet.theStore().setFault(StoreFault::Silent);
+    fleet.run({ 4000 });
+    fleet.theStore().setFault(StoreFault::None);
+    fleet.run({ 6000 });
+    CHECK(fleet.peerBytes() - before < instances * 10 * bytesOfOneASecond);
+    std::size_t watching = 0;
+    for (std::size_t instance = 0; instance < instances; ++instance)
+        watching += fleet.node(instance).isWatching() ? 1 : 0;
+    CHECK_TEXT(watching <= 6, "most have left off again");
+    LONGS_EQUAL(instances, fleet.node(0).instances(fleet.now()));
+}
+
 TEST(Fleet, APartOfTheFleetThatKnowsNoWatcherFindsOne)
 {
     // The seeds of the settings are all gone; only addresses heard before are left.
