Let the soak keep one instance for callers and start stopped ones again

Ruled out: the instances (their logs show orderly stops, nothing in flight cut). Change: the last instance that callers can go to is not stopped; stopped ones start again as soon as they are gone; programs end with the soak.

--- a/Tests/Soak/ChildProcess.cpp
+++ b/Tests/Soak/ChildProcess.cpp
@@ -2,7 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -12,6 +12,18 @@
 namespace {
 
 constexpr mode_t LogMode = 0644;
+constexpr int CannotRun = 127;
+
+/** In the child: the program itself, which ends when the soak does, however that ends. */
+[[noreturn]] void become(const std::vector<char*>& arguments, const char* log)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int file = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LogMode);
+    dup2(file, STDOUT_FILENO);
+    dup2(file, STDERR_FILENO);
+    execv(arguments.front(), arguments.data());
+    _exit(CannotRun);
+}
 
 }
 
@@ -32,18 +44,15 @@
     for (std::string& word : this->options.command)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
     const char* log = this->options.logPath.c_str();
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, LogMode);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    const int error = posix_spawn(&this->pid, arguments.front(), &files, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&files);
     this->isEndExpected = false;
-    if (error) {
-        this->pid = 0;
-        this->failed = true;
-    }
+    this->pid = fork();
+    if (this->pid == 0)
+        become(arguments, log);
+    if (this->pid > 0)
+        return;
+    this->pid = 0;
+    this->failed = true;
 }
 
 void ChildProcess::signal(int number) const
--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -20,7 +20,8 @@
 
 constexpr double MillisecondsPerSecond = 1000;
 constexpr int CalmSeconds = 2;
-constexpr Milliseconds SettlePatience{ 15000 };
+/** A planned stop under way may take 10 s of it. */
+constexpr Milliseconds SettlePatience{ 25000 };
 
 struct SoakOptions {
     std::string build;
@@ -62,6 +63,7 @@
             fleet.end(*moment.step);
         else
             fleet.begin(*moment.step);
+        fleet.tend();
     }
 }
 
@@ -95,7 +97,7 @@
     if (isPlannedOnly(seed))
         checker.checkNothingCut(told);
     if (!hasSettled)
-        checker.note("not every instance was ready with the latest accepted change after 15 s");
+        checker.note("not every instance was ready with the latest accepted change after 25 s");
     for (const std::string& name : fleet.failures())
         checker.note(name + " ended by itself or with a failure");
     std::cout << "seed " << seed << ": " << steps.size() << " faults,";
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -205,11 +205,33 @@
     return largestBehind(this->pathOf(name + ".log"), "revision: ");
 }
 
+void SoakFleet::stopInstance(std::size_t index)
+{
+    const auto isThere = [](const Instance& item) { return !item.isStopping && item.process->isRunning(); };
+    if (std::count_if(this->instances.begin(), this->instances.end(), isThere) < 2)
+        return;
+    Instance& instance = this->instances[index];
+    instance.isStopping = true;
+    instance.process->expectEnd();
+    instance.process->signal(SIGTERM);
+}
+
+void SoakFleet::tend()
+{
+    for (Instance& instance : this->instances) {
+        if (!instance.isStopping || instance.process->isRunning())
+            continue;
+        instance.isStopping = false;
+        instance.process->start();
+    }
+}
+
 bool SoakFleet::settles(Milliseconds patience)
 {
     if (this->change)
         this->change->wait();
     return waitFor(patience, [this] {
+        this->tend();
         for (std::size_t index = 0; index < this->instances.size(); ++index) {
             if (!this->isReady(index) || this->revisionOf(index) < this->latestAccepted())
                 return false;
@@ -230,8 +252,8 @@
 {
     if (this->change && this->change->isRunning())
         return;
-    static constexpr std::size_t Percents = 20;
-    const std::string percent = std::to_string(10 + instance % Percents);
+    static constexpr std::size_t percents = 20;
+    const std::string percent = std::to_string(10 + instance % percents);
     this->change = this->program("changes",
         { this->options.build + "/burlreach", "ctl", "--address", local(this->port(Part::Operators, instance)),
             "set-limits", "--service", "bookings", "--retry-percent", percent });
@@ -251,8 +273,7 @@
     case SoakFault::KillInstance:
         return instance.process->kill();
     case SoakFault::StopInstance:
-        instance.process->expectEnd();
-        return instance.process->signal(SIGTERM);
+        return this->stopInstance(index);
     case SoakFault::PauseInstance:
         return instance.process->signal(SIGSTOP);
     case SoakFault::ReloadInstance:
@@ -305,8 +326,6 @@
     Server& server = this->backendServers[serverIndex];
     switch (step.fault) {
     case SoakFault::KillInstance:
-    case SoakFault::StopInstance:
-        // One that still stops is started again when the run heals.
         if (!instance.process->isRunning())
             instance.process->start();
         return;
@@ -334,6 +353,7 @@
     case SoakFault::SilenceServerBack:
     case SoakFault::DelayServer:
         return server.proxy->setFault(ProxyFault::None);
+    case SoakFault::StopInstance: // see tend()
     case SoakFault::ReloadInstance:
     case SoakFault::ResetCallers:
     case SoakFault::StoreForgets:
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -39,6 +39,8 @@
     void end(const SoakStep& step);
     /** Ends all faults and starts what does not run. */
     void heal();
+    /** Starts instances again that have come to the end of a planned stop. */
+    void tend();
     /** Waits until every instance is ready and has the latest change. */
     bool settles(Milliseconds patience);
 
@@ -78,6 +80,8 @@
     std::uint16_t port(Part part, std::size_t index = 0) const;
     std::unique_ptr<ChildProcess> program(const std::string& name, std::vector<std::string> command) const;
     void addInstance(std::size_t index);
+    /** Unless it is the last one that callers can go to. */
+    void stopInstance(std::size_t index);
     void addServer(std::size_t index);
     void writeSettings(std::size_t index) const;
     bool control(std::size_t instance, std::vector<std::string> words, const std::string& log) const;
