Introduce members also when a stronger instance takes over

Cause: found by reading: a watcher that goes before the leading one counted as the leader before the old leader was asked whether it leads, so nobody told it of the members; they came only with their next hellos, up to 1.2 s later. Change: who introduces is settled before the newcomer is counted.

--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -178,12 +178,12 @@
     if (origin.name() == this->options.self.incarnation().name() || !this->isNewer(news, now))
         return;
     this->relay(news, actions);
-    const bool isNewWatcher = !this->duty.knows(origin);
+    const bool introduces = !this->duty.knows(origin) && this->introducesOthers(now);
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
     this->duty.heardWatcher(news.origin(), news.is_confirmed() ? now - age : LongAgo, now);
     for (const peers::Member& watcher : news.watchers())
         this->duty.toldOfWatcher(watcher, now);
-    if (isNewWatcher)
+    if (introduces)
         this->introduceMembers(news.origin(), now, actions);
     this->members.heard(news.origin(), news.store_revision(), now);
     for (const peers::Member& contact : news.contacts())
@@ -198,14 +198,19 @@
     this->pull(now, actions);
 }
 
-void NewsExchange::introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const
+bool NewsExchange::introducesOthers(Milliseconds now) const
 {
     // Where everybody watches for a moment, everybody would tell everybody of all.
+    const bool isLeader = this->parts.store->isWatching() && this->duty.leads(now);
+    return isLeader || this->duty.heardWatchers(now).empty();
+}
+
+void NewsExchange::introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const
+{
     const auto wanted = this->duty.watchers(now);
     const bool isWanted = std::any_of(wanted.begin(), wanted.end(),
         [&](const peers::Member& item) { return item.incarnation().name() == watcher.incarnation().name(); });
-    const bool isOthersTask = !this->duty.leads(now) || !this->parts.store->isWatching();
-    if (!isWanted || (isOthersTask && wanted.size() > 1))
+    if (!isWanted)
         return;
     const auto& list = this->members.members();
     const bool knowsOthers = std::any_of(list.begin(), list.end(),
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -90,7 +90,9 @@
     bool isNewer(const peers::News& news, Milliseconds now);
     void newsReceived(const peers::News& news, Milliseconds now, Actions& actions);
     void relay(const peers::News& news, Actions& actions) const;
-    /** Tells a new watcher of the instances that said hello here. */
+    /** The leading watcher introduces members, others only where they know no watcher. */
+    bool introducesOthers(Milliseconds now) const;
+    /** Tells a new watcher, if it is a wanted one, of the instances that said hello here. */
     void introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const;
     /** Asks for what is missing, if it is time to. */
     void pull(Milliseconds now, Actions& actions);
--- a/Tests/Node/NewsTest.cpp
+++ b/Tests/Node/NewsTest.cpp
@@ -73,6 +73,32 @@
     LONGS_EQUAL(13, this->after(news(20, 2, 12, 13), { 6500 }));
 }
 
+TEST(News, OnlyTheFirstNewWatcherIsToldOfMembersByOneThatDoesNotWatch)
+{
+    peers::PeerMessage hello;
+    hello.set_version(PeerProtocolVersion);
+    peers::Member* member = hello.mutable_hello()->mutable_member();
+    member->mutable_incarnation()->set_name("entry-9");
+    member->mutable_incarnation()->set_number(1);
+    member->set_address("10.0.0.9");
+    member->set_port(7000);
+    this->node->handle(PeerMessageArrived{ .message = hello }, { 50 }, this->actions);
+    const auto introductions = [this] {
+        std::size_t count = 0;
+        for (const Action& action : this->actions) {
+            const auto* sent = std::get_if<SendToPeer>(&action);
+            count += sent && sent->message.has_members_push() ? 1 : 0;
+        }
+        return count;
+    };
+    this->after(news(50, 5, 10, 11), { 100 });
+    LONGS_EQUAL(1, introductions());
+    peers::PeerMessage second = news(60, 1, 11, 12);
+    second.mutable_news()->mutable_origin()->mutable_incarnation()->set_name("entry-3");
+    this->after(second, { 200 });
+    LONGS_EQUAL_TEXT(1, introductions(), "the leading watcher does that");
+}
+
 TEST(News, WhatCannotBeAppliedWithoutAGapIsPulled)
 {
     LONGS_EQUAL(10, this->after(news(50, 5, 20, 21), { 100 }));
