Hold signals until an instance can take them

Cause: SIGTERM or SIGHUP in the first milliseconds of a life, before the handlers were there, ended the process by the system's default. A SIGHUP, a mere reload, would have ended it too. Change: serve holds the three signals first of all and lets them through when the handlers are there.

--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ChronoDuration.h"
 #include "Program/ConfigurationView.h"
+#include "Program/EarlySignals.h"
 #include "Program/MetricsText.h"
 
 #include <algorithm>
@@ -176,6 +177,7 @@
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.add(SIGHUP);
+    releaseSignals();
     this->awaitSignal();
     this->post(ControlTimer{});
     this->scheduleTending();
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -2,6 +2,7 @@
 #include "PlatformDialect.h"
 #include "Program/ControlCommand.h"
 #include "Program/Dialect.h"
+#include "Program/EarlySignals.h"
 #include "Program/ExitCode.h"
 #include "Program/Instance.h"
 #include "Settings/SettingsReader.h"
@@ -55,6 +56,7 @@
 
 ExitCode serve(const std::string& path)
 {
+    holdSignals();
     SettingsFile file(path);
     const SettingsResult result = checkedSettings(file.read());
     if (!reportFindings(result.findings))
--- /dev/null
+++ b/Tests/Program/EarlySignalsTest.cpp
@@ -0,0 +1,38 @@
+#include "Program/EarlySignals.h"
+
+#include <csignal>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+volatile std::sig_atomic_t seen = 0;
+
+void note(int)
+{
+    seen = seen + 1;
+}
+
+}
+
+TEST_GROUP(EarlySignals){};
+
+// Soak, seed 3: a signal before the handlers were there ended the process.
+TEST(EarlySignals, WaitUntilTheyCanBeTaken)
+{
+    seen = 0;
+    holdSignals();
+    // Without the hold the default of each would end this test's process here.
+    raise(SIGHUP);
+    raise(SIGTERM);
+    LONGS_EQUAL(0, seen);
+    const auto oldReload = std::signal(SIGHUP, &note);
+    const auto oldStop = std::signal(SIGTERM, &note);
+    releaseSignals();
+    LONGS_EQUAL(2, seen);
+    std::signal(SIGHUP, oldReload);
+    std::signal(SIGTERM, oldStop);
+}
--- a/Tests/Soak/ChildProcess.cpp
+++ b/Tests/Soak/ChildProcess.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -13,6 +14,7 @@
 
 constexpr mode_t LogMode = 0644;
 constexpr int CannotRun = 127;
+constexpr std::chrono::milliseconds FirstMoment{ 500 };
 
 /** In the child: the program itself, which ends when the soak does, however that ends. */
 [[noreturn]] void become(const std::vector<char*>& arguments, const char* log)
@@ -46,6 +48,8 @@
     arguments.push_back(nullptr);
     const char* log = this->options.logPath.c_str();
     this->isEndExpected = false;
+    this->wasStoppedEarly = false;
+    this->startedAt = std::chrono::steady_clock::now();
     this->pid = fork();
     if (this->pid == 0)
         become(arguments, log);
@@ -55,10 +59,15 @@
     this->failed = true;
 }
 
-void ChildProcess::signal(int number) const
+void ChildProcess::signal(int number)
 {
-    if (this->pid)
-        ::kill(this->pid, number);
+    if (!this->pid)
+        return;
+    if (number == SIGHUP)
+        std::this_thread::sleep_until(this->startedAt + FirstMoment);
+    const bool isEarly = std::chrono::steady_clock::now() < this->startedAt + FirstMoment;
+    this->wasStoppedEarly = this->wasStoppedEarly || (isEarly && number == SIGTERM);
+    ::kill(this->pid, number);
 }
 
 void ChildProcess::kill()
@@ -95,7 +104,8 @@
 {
     this->pid = 0;
     const bool wasKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
-    const bool wasOrderly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    const bool wasEarly = this->wasStoppedEarly && WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM;
+    const bool wasOrderly = wasEarly || (WIFEXITED(status) && WEXITSTATUS(status) == 0);
     this->failed = this->failed || !this->isEndExpected || !(wasKilled || wasOrderly);
 }
 
--- a/Tests/Soak/ChildProcess.h
+++ b/Tests/Soak/ChildProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -24,8 +25,12 @@
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     void start();
-    /** Nothing happens when it does not run. */
-    void signal(int number) const;
+    /**
+     * Nothing happens when it does not run. In the first moment of a life the
+     * system's default ends the program before any of its code runs: SIGTERM
+     * may then do so, and SIGHUP waits for that moment to pass.
+     */
+    void signal(int number);
     /** SIGKILL, also to a paused one, and waits for the end. */
     void kill();
     /** Waits for the end. */
@@ -41,6 +46,8 @@
 
     Options options;
     pid_t pid = 0; // 0: it does not run
+    std::chrono::steady_clock::time_point startedAt;
+    bool wasStoppedEarly = false;
     bool isEndExpected = false;
     bool failed = false;
 };
