Let a planned stop wait for a request that is partly read

Ruled out: failures of the instances (all ends were orderly). Test RequestDesk/AStopWaitsForARequestThatIsPartlyRead (0 before, 1 after).

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -113,7 +113,7 @@
         const auto session = item.lock();
         if (!session || !session->isOpen())
             continue;
-        const bool mayBeSending = this->closesAfterAnswers && session->isIdle() && !this->hasRested(*session);
+        const bool mayBeSending = this->closesAfterAnswers && session->awaitsRequest() && !this->hasRested(*session);
         count += session->isUnfinished() || mayBeSending ? 1 : 0;
     }
     return count;
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -71,6 +71,8 @@
     bool isUnfinished() const { return this->state == State::Answering || !this->output.empty(); }
     /** No request is being read, answered or written. */
     bool isIdle() const;
+    /** A request may come, or a part of one is there. */
+    bool awaitsRequest() const { return this->state == State::Reading; }
     Milliseconds lastActiveAt() const { return this->lastActive; }
 
 private:
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -235,6 +235,19 @@
     CHECK_TEXT(error.value() != 0, "nobody new is taken");
 }
 
+TEST(RequestDesk, AStopWaitsForARequestThatIsPartlyRead)
+{
+    this->configure();
+    this->desk->sessions().closeAfterAnswers();
+    asio::ip::tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n")));
+    this->desk->sessions().stopAccepting();
+    this->context.restart();
+    this->context.run_for(std::chrono::milliseconds(250));
+    this->desk->sessions().closeIdle();
+    LONGS_EQUAL_TEXT(1, this->desk->sessions().unfinished(), "its body is on the way");
+}
+
 TEST(RequestDesk, AConnectionThatRestsIsClosedByTheStop)
 {
     this->configure();
