Log on which way and how late a fact of the store was heard

Change: heard_from, confirmed_age and bytes on what came into force, lines on incomplete news and on changes asked, sent and taken, confirmed_age on attempt_sent, turn_took_long and a histogram of turns. No logic changed.

--- a/Source/Metrics/TrafficMetrics.h
+++ b/Source/Metrics/TrafficMetrics.h
@@ -13,6 +13,7 @@
     LatencyHistogram refused; // from arrival to an answer of our own
     LatencyHistogram added; // of both, without the time of the attempt that answered
     LatencyHistogram atBackendServer; // of every attempt
+    LatencyHistogram turns; // the decisions on one event, during which no other one is decided on
 
     std::atomic<std::uint64_t> connectionsOpened{ 0 };
     std::atomic<std::uint64_t> connectionsReused{ 0 };
--- a/Source/Node/DecisionRecord.cpp
+++ b/Source/Node/DecisionRecord.cpp
@@ -6,6 +6,11 @@
 
 namespace burlreach {
 
+DecisionRecord beliefOf(std::string_view event, std::string subject)
+{
+    return { .topic = RecordTopic::Belief, .event = event, .subject = std::move(subject), .fields = {} };
+}
+
 DecisionRecord& DecisionRecord::with(std::string_view name, std::string value)
 {
     this->fields.push_back({ .name = name, .value = std::move(value), .isNumber = false });
--- a/Source/Node/DecisionRecord.h
+++ b/Source/Node/DecisionRecord.h
@@ -35,4 +35,7 @@
     DecisionRecord& with(std::string_view name, std::uint64_t value);
 };
 
+/** A record of what this instance believes; the subject is what it is about. */
+DecisionRecord beliefOf(std::string_view event, std::string subject);
+
 }
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -12,6 +12,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -90,4 +91,7 @@
 using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, ProbeEnded, PeerMessageArrived,
     StoreAnswered, SeedsChanged, ChangeAsked, InForceAsked, StopAsked, RequestTimer, ControlTimer>;
 
+/** As it stands in log lines; of a peer's message, what it holds. */
+std::string_view nameOf(const Event& event);
+
 }
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -93,9 +93,11 @@
         peers::PeerMessage answer;
         *answer.mutable_push() = this->parts.store->pushFor(message.pull().store_revision());
         this->answer(message.from(), answer, actions);
+        this->recordPush("changes_sent", message.from(), answer.push(), actions);
         break;
     }
     case peers::PeerMessage::kPush:
+        this->recordPush("changes_taken", message.from(), message.push(), actions);
         this->pulls.answered();
         this->parts.store->takePush(message.push(), now, actions);
         this->pulls.reached(this->parts.store->view().revision());
@@ -194,6 +196,12 @@
     this->pulls.reached(this->parts.store->view().revision());
     if (isTaken)
         return;
+    actions.emplace_back(beliefOf("news_incomplete", origin.name())
+                             .with("base", news.base_revision())
+                             .with("revision", news.store_revision())
+                             .with("have", this->parts.store->view().revision())
+                             .with("changes", std::uint64_t(news.changes_size()))
+                             .with("confirmed_age", (now - this->parts.store->confirmedAt()).count));
     this->pulls.behind(news.origin(), news.store_revision(), news.base_revision() != 0, now);
     this->pull(now, actions);
 }
@@ -243,9 +251,22 @@
     this->send(addressOf(*from), this->newHello(now), actions);
     peers::PeerMessage message;
     message.mutable_pull()->set_store_revision(this->parts.store->view().revision());
+    actions.emplace_back(
+        beliefOf("changes_asked", from->incarnation().name()).with("have", message.pull().store_revision()));
     this->send(addressOf(*from), std::move(message), actions);
 }
 
+void NewsExchange::recordPush(
+    std::string_view event, const peers::Incarnation& other, const peers::Push& push, Actions& actions) const
+{
+    actions.emplace_back(beliefOf(event, other.name())
+                             .with("base", push.base_revision())
+                             .with("revision", push.store_revision())
+                             .with("have", this->parts.store->view().revision())
+                             .with("items", std::uint64_t(push.items_size()))
+                             .with("bytes", std::uint64_t{ push.ByteSizeLong() }));
+}
+
 peers::PeerMessage NewsExchange::newHello(Milliseconds now) const
 {
     peers::PeerMessage message;
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace burlreach {
@@ -96,6 +97,9 @@
     void introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const;
     /** Asks for what is missing, if it is time to. */
     void pull(Milliseconds now, Actions& actions);
+    /** Notes a push that was sent to or taken from another instance. */
+    void recordPush(std::string_view event, const peers::Incarnation& other, const peers::Push& push,
+        Actions& actions) const;
     Milliseconds searchPause();
     peers::PeerMessage newHello(Milliseconds now) const;
     peers::PeerMessage newNews(StoreRevision since, Milliseconds now);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -72,11 +72,6 @@
     return "";
 }
 
-DecisionRecord belief(std::string_view event, std::string subject)
-{
-    return { .topic = RecordTopic::Belief, .event = event, .subject = std::move(subject), .fields = {} };
-}
-
 }
 
 Node::Node(const Options& givenOptions)
@@ -98,7 +93,8 @@
           { .services = &this->services,
               .probes = &this->probes,
               .random = &this->random,
-              .counters = &this->decisionCounters })
+              .counters = &this->decisionCounters,
+              .store = &this->store })
     , changes(
           { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
@@ -157,7 +153,7 @@
 {
     if (!this->signs.heard(backendServer, leaving, now))
         return;
-    DecisionRecord record = belief("leaving_sign", backendServer);
+    DecisionRecord record = beliefOf("leaving_sign", backendServer);
     record.with("leaving", leaving ? "yes" : "no");
     actions.emplace_back(std::move(record));
     this->news.tellSigns(now, actions);
@@ -231,7 +227,7 @@
     if (this->store.isWatching() == this->wasWatching)
         return;
     this->wasWatching = this->store.isWatching();
-    actions.emplace_back(belief(this->wasWatching ? "watch_started" : "watch_ended", this->options.name)
+    actions.emplace_back(beliefOf(this->wasWatching ? "watch_started" : "watch_ended", this->options.name)
                              .with("revision", this->store.view().revision()));
 }
 
@@ -243,7 +239,7 @@
     this->wasStale = isStale;
     if (isStale)
         this->decisionCounters.add(DecisionCount::StaleSpells);
-    actions.emplace_back(belief(isStale ? "knowledge_stale" : "knowledge_current", this->options.name)
+    actions.emplace_back(beliefOf(isStale ? "knowledge_stale" : "knowledge_current", this->options.name)
                              .with("revision", this->store.view().revision())
                              .with("confirmed_age", (now - this->store.confirmedAt()).count));
 }
@@ -256,25 +252,26 @@
     return due;
 }
 
-void Node::itemsChanged(std::span<const StoreItem> items, Milliseconds now, Actions& actions)
+void Node::itemsChanged(std::span<const StoreItem> items, FactSource source, Milliseconds now, Actions& actions)
 {
     for (const StoreItem& item : items) {
         const Facts facts = this->options.translator->translate(item);
         for (const Finding& finding : facts.findings.all()) {
             this->decisionCounters.add(DecisionCount::ConfigurationsUnreadable);
-            actions.emplace_back(belief("item_unreadable", item.key)
+            actions.emplace_back(beliefOf("item_unreadable", item.key)
                                      .with("place", finding.place)
                                      .with("problem", finding.message)
                                      .with("revision", item.revision));
         }
         if (facts.configuration)
-            this->adoptConfiguration(item, *facts.configuration, actions);
-        this->adoptBackendServers(facts, now, actions);
+            this->adoptConfiguration(item, *facts.configuration, source, now, actions);
+        this->adoptBackendServers(item, facts, source, now, actions);
     }
     this->flow.capacityChanged(now, actions);
 }
 
-void Node::adoptConfiguration(const StoreItem& item, const RoutingConfiguration& next, Actions& actions)
+void Node::adoptConfiguration(
+    const StoreItem& item, const RoutingConfiguration& next, FactSource source, Milliseconds now, Actions& actions)
 {
     const CallerLimits before = this->services.current().callerLimits;
     const bool isFirst = !this->services.isConfigured();
@@ -282,24 +279,30 @@
     this->decisionCounters.add(DecisionCount::ConfigurationsAdopted);
     if (isFirst || before != next.callerLimits)
         actions.emplace_back(SetCallerLimits{ .limits = next.callerLimits });
-    actions.emplace_back(belief("configuration_in_force", item.key)
+    actions.emplace_back(beliefOf("configuration_in_force", item.key)
                              .with("version", next.version)
                              .with("revision", item.revision)
                              .with("routes", std::uint64_t{ next.routes.size() })
-                             .with("services", std::uint64_t{ next.services.size() }));
+                             .with("services", std::uint64_t{ next.services.size() })
+                             .with("bytes", std::uint64_t{ item.value.size() })
+                             .with("heard_from", nameOf(source))
+                             .with("confirmed_age", (now - this->store.confirmedAt()).count));
 }
 
-void Node::adoptBackendServers(const Facts& facts, Milliseconds now, Actions& actions)
+void Node::adoptBackendServers(
+    const StoreItem& item, const Facts& facts, FactSource source, Milliseconds now, Actions& actions)
 {
     for (const BackendServerChange& change : this->services.setBackendServers(facts, now)) {
         if (change.kind == BackendServerChange::Kind::Gone) {
             this->probes.forget(change.record.id);
             actions.emplace_back(CloseConnections{ .backendServer = change.record.id });
         }
-        actions.emplace_back(belief(nameOf(change.kind), change.record.id)
+        actions.emplace_back(beliefOf(nameOf(change.kind), change.record.id)
                                  .with("service", change.record.service)
                                  .with("address", change.record.address.text())
-                                 .with("revision", this->store.view().revision()));
+                                 .with("revision", item.revision)
+                                 .with("heard_from", nameOf(source))
+                                 .with("confirmed_age", (now - this->store.confirmedAt()).count));
     }
 }
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -82,10 +82,13 @@
     void dispatch(const RequestTimer& event, Milliseconds now, Actions& actions);
     void dispatch(const ControlTimer& event, Milliseconds now, Actions& actions);
 
-    void itemsChanged(std::span<const StoreItem> changes, Milliseconds now, Actions& actions) override;
+    void itemsChanged(
+        std::span<const StoreItem> changes, FactSource source, Milliseconds now, Actions& actions) override;
     void changeAnswered(OperatorCallNumber call, const v1::ChangeAnswer& answer) override;
-    void adoptConfiguration(const StoreItem& item, const RoutingConfiguration& next, Actions& actions);
-    void adoptBackendServers(const Facts& facts, Milliseconds now, Actions& actions);
+    void adoptConfiguration(const StoreItem& item, const RoutingConfiguration& next, FactSource source,
+        Milliseconds now, Actions& actions);
+    void adoptBackendServers(
+        const StoreItem& item, const Facts& facts, FactSource source, Milliseconds now, Actions& actions);
     void askStore(Milliseconds now, Actions& actions);
     void noteStaleness(Milliseconds now, Actions& actions);
     void noteWatching(Actions& actions);
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -232,6 +232,7 @@
         .with("figures_age", (now - report.at).count)
         .with("waited", (now - request.arrivedAt).count)
         .with("time_left", (request.deadline - now).count)
+        .with("confirmed_age", (now - this->parts.store->confirmedAt()).count)
         .with("version", this->parts.services->version());
     actions.emplace_back(std::move(record));
 }
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -7,6 +7,7 @@
 #include "Node/Events.h"
 #include "Node/RequestState.h"
 #include "Node/ServiceTable.h"
+#include "Node/StoreKeeper.h"
 
 #include <string>
 #include <string_view>
@@ -42,6 +43,7 @@
         ProbeDesk* probes = nullptr;
         Random* random = nullptr;
         DecisionCounters* counters = nullptr;
+        const StoreKeeper* store = nullptr;
     };
 
     RequestFlow(Options options, Parts parts);
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -45,6 +45,21 @@
 
 }
 
+std::string_view nameOf(FactSource source)
+{
+    switch (source) {
+    case FactSource::Store:
+        return "store";
+    case FactSource::News:
+        return "news";
+    case FactSource::Push:
+        return "push";
+    case FactSource::OwnWrite:
+        return "own_write";
+    }
+    return "";
+}
+
 StoreKeeper::StoreKeeper(StoreReader::Options options, StoreListener& givenListener, StoreCallNumbers& numbers,
     Random& random, DecisionCounters& givenCounters)
     : reader(std::move(options), this->storeView, numbers, random)
@@ -65,11 +80,17 @@
     this->noteStore(answer, news.isFailure, now, actions);
     if (news.isConfirmed)
         this->confirmed = std::max(this->confirmed, news.confirmedAt);
-    if (!news.changes.empty())
-        this->listener->itemsChanged(news.changes, now, actions);
+    this->tell(news.changes, FactSource::Store, now, actions);
     return news.isConfirmed;
 }
 
+void StoreKeeper::tell(
+    const std::vector<StoreItem>& changes, FactSource source, Milliseconds now, Actions& actions)
+{
+    if (!changes.empty())
+        this->listener->itemsChanged(changes, source, now, actions);
+}
+
 void StoreKeeper::noteStore(const StoreAnswer& answer, bool isFailure, Milliseconds now, Actions& actions)
 {
     this->counters->add(isFailure ? DecisionCount::StoreFailures : DecisionCount::StoreAnswers);
@@ -94,8 +115,7 @@
         if (!isGapless)
             return false;
         const auto changes = this->storeView.applyChanges(itemsOf(news.changes()), news.store_revision());
-        if (!changes.empty())
-            this->listener->itemsChanged(changes, now, actions);
+        this->tell(changes, FactSource::News, now, actions);
     }
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
     if (news.is_confirmed())
@@ -106,8 +126,7 @@
 void StoreKeeper::takeWritten(const StoreItem& item, Milliseconds now, Actions& actions)
 {
     const auto changes = this->storeView.applyChanges(std::span(&item, 1), this->storeView.revision());
-    if (!changes.empty())
-        this->listener->itemsChanged(changes, now, actions);
+    this->tell(changes, FactSource::OwnWrite, now, actions);
 }
 
 void StoreKeeper::takePush(const peers::Push& push, Milliseconds now, Actions& actions)
@@ -119,8 +138,7 @@
         changes = this->storeView.replaceAll(itemsOf(push.items()), push.store_revision());
     else if (push.base_revision() <= this->storeView.revision())
         changes = this->storeView.applyChanges(itemsOf(push.items()), push.store_revision());
-    if (!changes.empty())
-        this->listener->itemsChanged(changes, now, actions);
+    this->tell(changes, FactSource::Push, now, actions);
 }
 
 peers::Push StoreKeeper::pushFor(StoreRevision revision) const
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -8,15 +8,28 @@
 #include "peers.pb.h"
 
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace burlreach {
 
+/** How a change of the store became known here. */
+enum class FactSource {
+    Store, // read or watched by this instance
+    News, // told by a watching instance unasked
+    Push, // another instance's answer to a pull
+    OwnWrite
+};
+
+/** As it stands in log lines. */
+std::string_view nameOf(FactSource source);
+
 /** Hears of changed items, in whatever way they became known. */
 class StoreListener {
 public:
     virtual ~StoreListener() = default;
-    virtual void itemsChanged(std::span<const StoreItem> changes, Milliseconds now, Actions& actions) = 0;
+    virtual void itemsChanged(
+        std::span<const StoreItem> changes, FactSource source, Milliseconds now, Actions& actions) = 0;
 };
 
 /**
@@ -51,6 +64,7 @@
 
 private:
     void noteStore(const StoreAnswer& answer, bool isFailure, Milliseconds now, Actions& actions);
+    void tell(const std::vector<StoreItem>& changes, FactSource source, Milliseconds now, Actions& actions);
 
     StoreView storeView;
     StoreReader reader;
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -22,6 +22,8 @@
 /** Lines that were left out are told every so many tendings. */
 constexpr unsigned TendingsPerTelling = 10;
 constexpr double Percent = 100;
+/** Longer decisions on one event are told, since requests wait for them: a tenth of the users' shortest target latency. */
+constexpr Milliseconds LongTurn{ 20 };
 
 /** Rises with each start, also when the process ids repeat. */
 std::uint64_t newIncarnation()
@@ -80,13 +82,16 @@
     Actions actions;
     Milliseconds requestDue;
     Milliseconds controlDue;
+    Milliseconds took;
     {
         const std::lock_guard lock(this->mutex);
         const Milliseconds now = this->clock.now();
         this->node.handle(event, now, actions);
         requestDue = this->node.nextRequestDue(now);
         controlDue = this->node.nextControlDue();
+        took = this->clock.now() - now;
     }
+    this->noteTurn(event, took);
     for (const Action& action : actions)
         std::visit([this](const auto& item) { this->execute(item); }, action);
     if (requestDue != Never)
@@ -94,6 +99,15 @@
     asio::dispatch(this->context, [this, controlDue] { this->wakeControlAt(controlDue); });
 }
 
+void Instance::noteTurn(const Event& event, Milliseconds took)
+{
+    this->metrics.turns.add(took);
+    if (took < LongTurn)
+        return;
+    DecisionRecord record = beliefOf("turn_took_long", this->settings.instanceName);
+    this->decisions.write(record.with("on", nameOf(event)).with("took", took.count));
+}
+
 void Instance::peerMessageReceived(peers::PeerMessage message)
 {
     this->post(PeerMessageArrived{ .message = std::move(message) });
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -41,6 +41,8 @@
 
 private:
     void post(const Event& event) override;
+    /** Measures how long the decisions on an event took. */
+    void noteTurn(const Event& event, Milliseconds took);
     void peerMessageReceived(peers::PeerMessage message) override;
     v1::Configuration configurationInForce() const override;
     v1::ShowLoadAnswer showLoad(const std::string& service) const override;
--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -79,6 +79,7 @@
     addQuantiles(answer, "refused_milliseconds", traffic.refused);
     addQuantiles(answer, "added_milliseconds", traffic.added);
     addQuantiles(answer, "at_backend_server_milliseconds", traffic.atBackendServer);
+    addQuantiles(answer, "turn_milliseconds", traffic.turns);
     return answer;
 }
 
@@ -98,6 +99,7 @@
     traffic.refused.write(text, "burlreach_refused_seconds", "");
     traffic.added.write(text, "burlreach_added_seconds", "");
     traffic.atBackendServer.write(text, "burlreach_at_backend_server_seconds", "");
+    traffic.turns.write(text, "burlreach_turn_seconds", "");
     return text;
 }
 
