--- /dev/null
+++ b/Tests/Node/LargeItemsTest.cpp
@@ -0,0 +1,237 @@
+#include "Base/Random.h"
+#include "Tests/Virtual/VirtualFleet.h"
+
+#include <memory>
+#include <sstream>
+#include <string>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr std::string_view DocumentKey = "document";
+constexpr std::string_view ServerPrefix = "server/";
+constexpr std::string_view ServiceName = "bookings";
+
+/** A document of routes, a line each, and an item for each backend server that holds its state. */
+class LineFactTranslator final : public FactTranslator {
+public:
+    std::string watchedPrefix() const override { return ""; }
+
+    Facts translate(const StoreItem& item) const override
+    {
+        this->longestTranslated = std::max(this->longestTranslated, item.value.size());
+        return item.key == DocumentKey ? this->documentFacts(item) : this->serverFacts(item);
+    }
+
+    /** The size of the largest value so far. */
+    std::size_t longest() const { return this->longestTranslated; }
+
+private:
+    Facts documentFacts(const StoreItem& item) const
+    {
+        Facts facts;
+        facts.configuration.emplace();
+        facts.configuration->services.push_back({ .name = std::string(ServiceName) });
+        std::istringstream lines(item.value);
+        std::string name;
+        std::string host;
+        std::string prefix;
+        while (lines >> name >> host >> prefix) {
+            Route route;
+            route.name = name;
+            route.host = host;
+            route.pathPrefix = prefix;
+            route.services.push_back({ .service = std::string(ServiceName) });
+            facts.configuration->routes.push_back(std::move(route));
+        }
+        return facts;
+    }
+
+    Facts serverFacts(const StoreItem& item) const
+    {
+        Facts facts;
+        BackendServerRecord record;
+        record.id = item.key.substr(ServerPrefix.size());
+        record.service = ServiceName;
+        record.address = { .host = "10.0.9.1", .port = 80 };
+        record.dataCentre = "dc-1";
+        record.draining = item.value == "draining";
+        facts.backendServers.push_back(std::move(record));
+        return facts;
+    }
+
+    mutable std::size_t longestTranslated = 0;
+};
+
+/**
+ * About 2,000 bytes a route, a fifth of them random as names, hosts and paths
+ * are. Few and long ones, since the runner's leak check counts each allocation.
+ */
+std::string documentOf(std::size_t routes, std::uint64_t seed)
+{
+    constexpr std::size_t randomBytes = 400;
+    constexpr std::size_t sameBytes = 1600;
+    constexpr std::size_t letters = 26;
+    Random random(seed);
+    std::string text;
+    for (std::size_t route = 0; route < routes; ++route) {
+        text += "route" + std::to_string(route) + " host" + std::to_string(route) + ".example /";
+        for (std::size_t index = 0; index < randomBytes; ++index)
+            text += static_cast<char>('a' + random.below(letters));
+        text += std::string(sameBytes, 'x') + "/\n";
+    }
+    return text;
+}
+
+std::string stateOf(const Node& node, const std::string& server, Milliseconds now)
+{
+    const v1::ShowLoadAnswer load = node.showLoad(std::string(ServiceName), now);
+    for (const v1::BackendServerLoad& item : load.backend_servers()) {
+        if (item.backend_server() == server)
+            return item.state();
+    }
+    return "unknown";
+}
+
+peers::PeerMessage newsOf(StoreRevision base, StoreRevision revision, std::uint64_t number)
+{
+    peers::PeerMessage message;
+    message.set_version(PeerProtocolVersion);
+    peers::News* news = message.mutable_news();
+    news->mutable_origin()->mutable_incarnation()->set_name("entry-2");
+    news->mutable_origin()->mutable_incarnation()->set_number(1);
+    news->mutable_origin()->set_address("10.0.0.2");
+    news->mutable_origin()->set_port(7000);
+    *message.mutable_from() = news->origin().incarnation();
+    news->set_number(number);
+    news->set_base_revision(base);
+    news->set_store_revision(revision);
+    news->set_is_confirmed(true);
+    return message;
+}
+
+void addItem(peers::PeerMessage& message, const std::string& key, const std::string& value, StoreRevision revision)
+{
+    peers::Item* item = message.mutable_news()->add_changes();
+    item->set_key(key);
+    item->set_value(value);
+    item->set_revision(revision);
+}
+
+}
+
+TEST_GROUP(LargeItems)
+{
+    std::shared_ptr<LineFactTranslator> translator = std::make_shared<LineFactTranslator>();
+    std::unique_ptr<Node> node;
+    Actions actions;
+
+    void setup() override
+    {
+        Node::Options options;
+        options.name = "entry-1";
+        options.incarnation = 1;
+        options.peersAddress = { .host = "10.0.0.1", .port = 7000 };
+        options.translator = this->translator;
+        this->node = std::make_unique<Node>(options);
+        peers::PeerMessage push;
+        push.set_version(PeerProtocolVersion);
+        push.mutable_push()->set_store_revision(10);
+        const auto add = [&](const std::string& key, const std::string& value) {
+            peers::Item* item = push.mutable_push()->add_items();
+            item->set_key(key);
+            item->set_value(value);
+            item->set_revision(10);
+        };
+        add(std::string(DocumentKey), documentOf(2, 1));
+        add("server/s1", "ready");
+        add("server/s2", "ready");
+        this->node->handle(PeerMessageArrived{ .message = push }, { 0 }, this->actions);
+        STRCMP_EQUAL("taking", stateOf(*this->node, "s1", { 0 }).c_str());
+    }
+};
+
+// Incident inc1: news that held a leaving came in time, but were not applied
+// while the document before them was still missing.
+TEST(LargeItems, ASmallChangeIsInForceAlsoWhenAnEarlierOneIsMissing)
+{
+    peers::PeerMessage message = newsOf(12, 13, 1);
+    addItem(message, "server/s1", "draining", 13);
+    this->node->handle(PeerMessageArrived{ .message = message }, { 100 }, this->actions);
+    STRCMP_EQUAL("draining", stateOf(*this->node, "s1", { 100 }).c_str());
+    LONGS_EQUAL_TEXT(10, this->node->storeRevision(), "what is missing is still to be asked for");
+}
+
+TEST(LargeItems, WhatWasAppliedEarlyIsNotTakenBackByWhatWasMissing)
+{
+    peers::PeerMessage message = newsOf(12, 13, 1);
+    addItem(message, "server/s1", "draining", 13);
+    this->node->handle(PeerMessageArrived{ .message = message }, { 100 }, this->actions);
+    peers::PeerMessage push;
+    push.set_version(PeerProtocolVersion);
+    push.mutable_push()->set_base_revision(10);
+    push.mutable_push()->set_store_revision(12);
+    peers::Item* item = push.mutable_push()->add_items();
+    item->set_key("server/s1");
+    item->set_value("ready");
+    item->set_revision(11);
+    this->node->handle(PeerMessageArrived{ .message = push }, { 200 }, this->actions);
+    STRCMP_EQUAL("draining", stateOf(*this->node, "s1", { 200 }).c_str());
+}
+
+// Incident inc1: the decisions on one event took 155 ms in the mean while a
+// document was read, and every request of the instance waited for them.
+TEST(LargeItems, ALargeItemIsNotTranslatedWhileRequestsWait)
+{
+    const std::string document = documentOf(100, 2);
+    peers::PeerMessage message = newsOf(10, 11, 1);
+    addItem(message, std::string(DocumentKey), document, 11);
+    this->node->handle(PeerMessageArrived{ .message = message }, { 100 }, this->actions);
+    CHECK_TEXT(this->translator->longest() < document.size(), "that is work for outside of the decisions");
+}
+
+// Incident inc1, on links and processors as the users have them.
+TEST(LargeItems, ALeavingIsKnownInTimeBesideALargeDocument)
+{
+    constexpr Milliseconds bound{ 1700 }; // an instance that hears nothing asks the store itself by then
+    constexpr std::size_t instances = 60;
+    constexpr std::size_t routes = 300;
+    VirtualFleet::Options options;
+    options.instances = instances;
+    options.translator = this->translator;
+    options.linkBytesPerMillisecond = 1250; // 10 Mbit/s
+    options.strongInstances = 8;
+    VirtualFleet fleet(options);
+    VirtualStore& store = fleet.theStore();
+    store.put(std::string(DocumentKey), documentOf(20, 1));
+    constexpr std::size_t servers = 12;
+    for (std::size_t server = 0; server < servers; ++server)
+        store.put("server/s" + std::to_string(server), "ready");
+    fleet.startAll();
+    fleet.run({ 10000 });
+
+    // Twice: the document grows, then a part of it changes; a backend server leaves each half second meanwhile.
+    std::string document = documentOf(routes, 2);
+    std::size_t late = 0;
+    for (std::size_t server = 0; server < servers; ++server) {
+        if (server % 6 == 0) {
+            store.put(std::string(DocumentKey), document);
+            document += "changed x.example /x/\n";
+        }
+        const std::string id = "s" + std::to_string(server);
+        store.put("server/" + id, "draining");
+        fleet.clock().after(bound, [&fleet, &late, id] {
+            for (std::size_t instance = 0; instance < fleet.size(); ++instance)
+                late += stateOf(fleet.node(instance), id, fleet.now()) == "draining" ? 0 : 1;
+        });
+        fleet.run({ 500 });
+    }
+    fleet.run({ 3000 });
+    LONGS_EQUAL_TEXT(0, late, "instances that still sent to a leaving backend server");
+    for (std::size_t instance = 0; instance < fleet.size(); ++instance)
+        LONGS_EQUAL(store.revision(), fleet.node(instance).storeRevision());
+}
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -14,6 +14,12 @@
 constexpr std::uint16_t FirstServerPort = 10000;
 constexpr std::uint32_t ServerPorts = 50000;
 constexpr const char* DataCentres[] = { "dc-1", "dc-2", "dc-3" };
+/** In percent of a processor. */
+constexpr std::uint32_t StrongCapacity = 50;
+/** The link of a strong instance against that of any other. */
+constexpr double StrongLink = 20;
+/** The store's answers carry values as text. */
+constexpr double BytesOfTextForOne = 1.34;
 
 template <typename Kind>
 constexpr std::string_view StepName = "";
@@ -136,7 +142,8 @@
         node.seeds.push_back(this->addressOf(seed));
     node.retries = this->options.retries;
     node.probesPerSecond = this->options.probesPerSecond;
-    node.translator = std::make_shared<OwnFactTranslator>();
+    node.translator = this->options.translator ? this->options.translator : std::make_shared<OwnFactTranslator>();
+    node.capacity = this->isStrong(instance) ? StrongCapacity : 0;
     node.changeKey = OwnConfigurationKey;
     node.policies = this->options.policies;
     node.requests = this->options.requests;
@@ -382,6 +389,25 @@
     });
 }
 
+Milliseconds VirtualFleet::throughLink(std::size_t instance, Milliseconds& busyUntil, std::size_t bytes) const
+{
+    const Milliseconds now = this->time.now();
+    if (this->options.linkBytesPerMillisecond <= 0)
+        return now;
+    const double rate = this->options.linkBytesPerMillisecond * (this->isStrong(instance) ? StrongLink : 1);
+    busyUntil = std::max(busyUntil, now) + Milliseconds{ static_cast<double>(bytes) / rate };
+    return busyUntil;
+}
+
+void VirtualFleet::receive(std::size_t instance, std::uint64_t life, std::size_t bytes, const Event& event)
+{
+    const Milliseconds through = this->throughLink(instance, this->nodes[instance].receivesUntil, bytes);
+    if (through <= this->time.now())
+        return this->deliver(instance, life, event);
+    this->time.after(
+        through - this->time.now(), [this, instance, life, event] { this->deliver(instance, life, event); });
+}
+
 void VirtualFleet::execute(std::size_t instance, const SendToPeer& action)
 {
     ++this->peerMessageCount;
@@ -392,9 +418,12 @@
     for (std::size_t other = 0; other < this->nodes.size(); ++other) {
         if (this->addressOf(other) != action.address || this->nodes[other].isCut)
             continue;
-        this->time.after(this->options.toPeer, [this, other, life = this->nodes[other].life, message = action.message] {
-            this->deliver(other, life, PeerMessageArrived{ .message = message });
-        });
+        const std::size_t bytes = action.message.ByteSizeLong();
+        const Milliseconds sent = this->throughLink(instance, this->nodes[instance].sendsUntil, bytes);
+        this->time.after(sent - this->time.now() + this->options.toPeer,
+            [this, other, life = this->nodes[other].life, bytes, message = action.message] {
+                this->receive(other, life, bytes, PeerMessageArrived{ .message = message });
+            });
     }
 }
 
@@ -406,7 +435,11 @@
         this->nameOf(instance), action.request, [this, instance, life, answered](const StoreAnswer& answer) {
             if (std::exchange(*answered, true))
                 return;
-            this->deliver(instance, life, StoreAnswered{ .answer = answer });
+            std::size_t bytes = 0;
+            for (const StoreItem& item : answer.items)
+                bytes += item.key.size() + item.value.size();
+            const auto asText = static_cast<std::size_t>(static_cast<double>(bytes) * BytesOfTextForOne);
+            this->receive(instance, life, asText, StoreAnswered{ .answer = answer });
         });
     this->time.after(action.request.timeout, [this, instance, life, answered, number = action.request.number] {
         if (std::exchange(*answered, true))
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -43,6 +43,9 @@
         double probesPerSecond = 60;
         std::shared_ptr<const PolicyFactory> policies;
         RequestFlow::Options requests;
+        std::shared_ptr<const FactTranslator> translator; // null: the product's own form
+        double linkBytesPerMillisecond = 0; // of each instance, each way, one message after another; 0: endless
+        std::size_t strongInstances = 0; // the first ones: their links and processors are stronger
     };
 
     /** Called before and after each event and action of an instance; tests put faults there. */
@@ -98,6 +101,8 @@
         Milliseconds requestTimer = Never;
         Milliseconds controlTimer = Never;
         std::vector<Event> held; // arrived while it stood still
+        Milliseconds sendsUntil = LongAgo; // its link is busy so long, each way
+        Milliseconds receivesUntil = LongAgo;
     };
 
     NetworkAddress addressOf(std::size_t instance) const;
@@ -120,6 +125,11 @@
     void execute(std::size_t, const AnswerInForce&) { }
     void execute(std::size_t, const DecisionRecord&) { }
 
+    bool isStrong(std::size_t instance) const { return instance < this->options.strongInstances; }
+    /** The time at which so many bytes are through, of which the link is then busy. */
+    Milliseconds throughLink(std::size_t instance, Milliseconds& busyUntil, std::size_t bytes) const;
+    /** Delivers it when all of it has come through the receiver's link. */
+    void receive(std::size_t instance, std::uint64_t life, std::size_t bytes, const Event& event);
     void attemptEnded(std::size_t instance, std::uint64_t life, const SendAttempt& action, const ServerWord& word);
     void endCaller(std::uint64_t number, CallerOutcome outcome);
     VirtualBackendServer* serverAt(const NetworkAddress& address);
