--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -1,5 +1,7 @@
 #include "Node/NewsExchange.h"
 
+#include "Node/NewsRecords.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -100,7 +102,7 @@
         peers::PeerMessage answer;
         *answer.mutable_push() = this->parts.store->pushFor(message.pull());
         this->answer(message.from(), answer, actions);
-        this->recordPush("changes_sent", message.from(), answer.push(), actions);
+        actions.emplace_back(recordOfPush("changes_sent", message.from(), answer.push(), *this->parts.store));
         break;
     }
     case peers::PeerMessage::kPush:
@@ -182,7 +184,7 @@
 {
     const peers::Push& push = message.push();
     this->relay(message, actions);
-    this->recordPush("changes_taken", message.from(), push, actions);
+    actions.emplace_back(recordOfPush("changes_taken", message.from(), push, *this->parts.store));
     if (push.is_unasked())
         this->pulls.delivered();
     else
@@ -217,24 +219,13 @@
     if (isTaken)
         return;
     if (news.base_revision())
-        this->recordIncomplete(news, now, actions);
+        actions.emplace_back(recordOfIncomplete(news, *this->parts.store, now));
     if (news.large_changes_follow())
         this->pulls.promised(now);
     this->pulls.behind(news.origin(), news.store_revision(), news.base_revision() != 0, now);
     this->pull(now, actions);
 }
 
-void NewsExchange::recordIncomplete(const peers::News& news, Milliseconds now, Actions& actions) const
-{
-    actions.emplace_back(beliefOf("news_incomplete", news.origin().incarnation().name())
-                             .with("base", news.base_revision())
-                             .with("revision", news.store_revision())
-                             .with("have", this->parts.store->view().revision())
-                             .with("changes", std::uint64_t(news.changes_size()))
-                             .with("follows", news.large_changes_follow() ? "yes" : "no")
-                             .with("confirmed_age", (now - this->parts.store->confirmedAt()).count));
-}
-
 bool NewsExchange::introducesOthers(Milliseconds now) const
 {
     // Where everybody watches for a moment, everybody would tell everybody of all.
@@ -291,17 +282,6 @@
     this->send(addressOf(*from), std::move(message), actions);
 }
 
-void NewsExchange::recordPush(
-    std::string_view event, const peers::Incarnation& other, const peers::Push& push, Actions& actions) const
-{
-    actions.emplace_back(beliefOf(event, other.name())
-                             .with("base", push.base_revision())
-                             .with("revision", push.store_revision())
-                             .with("have", this->parts.store->view().revision())
-                             .with("items", std::uint64_t(push.items_size()))
-                             .with("bytes", std::uint64_t{ push.ByteSizeLong() }));
-}
-
 peers::PeerMessage NewsExchange::newHello(Milliseconds now) const
 {
     peers::PeerMessage message;
@@ -342,7 +322,8 @@
         return;
     peers::PeerMessage follows;
     *follows.mutable_push() = this->parts.store->pushAfterNews(message.news());
-    this->recordPush("changes_sent", this->options.self.incarnation(), follows.push(), actions);
+    actions.emplace_back(
+        recordOfPush("changes_sent", this->options.self.incarnation(), follows.push(), *this->parts.store));
     this->sendOver(branches, std::move(follows), actions);
 }
 
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -15,7 +15,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace burlreach {
@@ -100,11 +99,6 @@
     void introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const;
     /** Asks for what is missing, if it is time to. */
     void pull(Milliseconds now, Actions& actions);
-    /** Notes news of changes after a gap, or without the large ones. */
-    void recordIncomplete(const peers::News& news, Milliseconds now, Actions& actions) const;
-    /** Notes a push that was sent to or taken from another instance. */
-    void recordPush(
-        std::string_view event, const peers::Incarnation& other, const peers::Push& push, Actions& actions) const;
     Milliseconds searchPause();
     peers::PeerMessage newHello(Milliseconds now) const;
     peers::PeerMessage newNews(StoreRevision since, Milliseconds now);
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include "Node/RequestFlow.h"
 
+#include "Node/RequestRecords.h"
 #include "Routing/LoadAwarePolicy.h"
 
 #include <algorithm>
@@ -35,18 +36,6 @@
     }
 }
 
-std::string_view nameOf(RefusedOutcome outcome)
-{
-    return outcome == RefusedOutcome::NotRun ? "not_run" : "unknown";
-}
-
-DecisionRecord recordOf(RecordTopic topic, std::string_view event, const RequestState& request)
-{
-    DecisionRecord record{ .topic = topic, .event = event, .subject = request.requestId, .fields = {} };
-    record.with("route", request.route->name);
-    return record;
-}
-
 }
 
 RequestFlow::RequestFlow(Options givenOptions, Parts givenParts)
@@ -86,14 +75,7 @@
 {
     this->parts.counters->add(reason);
     this->parts.counters->add(DecisionCount::RefusedNotRun);
-    DecisionRecord record{
-        .topic = RecordTopic::Refusal, .event = "request_refused", .subject = event.requestId, .fields = {}
-    };
-    record.with("host", event.host)
-        .with("path", event.path)
-        .with("reason", burlreach::nameOf(reason))
-        .with("version", this->parts.services->version());
-    actions.emplace_back(std::move(record));
+    actions.emplace_back(recordOfUnrouted(event, reason, this->parts.services->version()));
     actions.emplace_back(RefuseRequest{ .request = event.request,
         .outcome = RefusedOutcome::NotRun,
         .reason = reason,
@@ -207,7 +189,8 @@
         request.route->targetLatency * this->options.latestHedge);
     const bool isHedged = this->options.hedges && !request.hedged && mayHedge(*request.route, request.history);
     request.hedgeAt = isHedged ? now + patience : Never;
-    this->recordSent(request, *server, now, actions);
+    actions.emplace_back(recordOfSent(request, *server,
+        { .version = this->parts.services->version(), .confirmedAt = this->parts.store->confirmedAt() }, now));
     server->sent(attempt, now);
     actions.emplace_back(SendAttempt{ .request = request.number,
         .attempt = attempt,
@@ -219,24 +202,6 @@
     request.flights.push_back({ .attempt = attempt, .server = std::move(server), .sentAt = now });
 }
 
-void RequestFlow::recordSent(
-    const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions) const
-{
-    const LoadReport& report = server.report();
-    DecisionRecord record = recordOf(RecordTopic::Request, "attempt_sent", request);
-    record.with("server", server.id())
-        .with("attempt", std::uint64_t{ request.attempts })
-        .with("in_flight", std::uint64_t{ server.inFlight() })
-        .with("others", report.others)
-        .with("work_percent", std::uint64_t{ report.figures.workPercent })
-        .with("figures_age", (now - report.at).count)
-        .with("waited", (now - request.arrivedAt).count)
-        .with("time_left", (request.deadline - now).count)
-        .with("confirmed_age", (now - this->parts.store->confirmedAt()).count)
-        .with("version", this->parts.services->version());
-    actions.emplace_back(std::move(record));
-}
-
 void RequestFlow::attemptEnded(const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
     const auto found = this->requests.find(event.request);
@@ -271,22 +236,14 @@
         request.service->answered(*request.route, now - flight.sentAt);
         return;
     }
-    DecisionRecord record = recordOf(RecordTopic::Refusal, "attempt_failed", request);
-    record.with("server", server.id())
-        .with("result", burlreach::nameOf(end.result))
-        .with("status", static_cast<std::uint64_t>(end.status))
-        .with("took", (now - flight.sentAt).count);
-    actions.emplace_back(std::move(record));
+    actions.emplace_back(recordOfFailed(request, flight, end, now));
     if (!request.service->pool.checkOutlier(server, now))
         return;
     this->parts.counters->add(DecisionCount::Ejections);
-    DecisionRecord ejected{
-        .topic = RecordTopic::Belief, .event = "backend_server_ejected", .subject = server.id(), .fields = {}
-    };
-    ejected.with("service", request.service->description.name)
-        .with("ejections", std::uint64_t{ server.ejections() })
-        .with("failure_share", server.failureShare(now));
-    actions.emplace_back(std::move(ejected));
+    actions.emplace_back(beliefOf("backend_server_ejected", server.id())
+                             .with("service", request.service->description.name)
+                             .with("ejections", std::uint64_t{ server.ejections() })
+                             .with("failure_share", server.failureShare(now)));
 }
 
 bool RequestFlow::mayPass(const RequestState& request, const AttemptEnd& end) const
@@ -331,7 +288,7 @@
         return false;
     if (needsBudget(end.result) && !request.service->retryBudget.take(now)) {
         this->parts.counters->add(DecisionCount::RetriesDenied);
-        actions.emplace_back(recordOf(RecordTopic::Refusal, "retry_denied", request));
+        actions.emplace_back(recordOfRequest(RecordTopic::Refusal, "retry_denied", request));
         return false;
     }
     this->parts.counters->add(retryReasonOf(end.result));
@@ -366,13 +323,7 @@
     const bool isOvertaken = !request.flights.empty() && flight.attempt > request.flights.front().attempt;
     if (isOvertaken)
         this->parts.counters->add(DecisionCount::HedgesWon);
-    DecisionRecord record = recordOf(RecordTopic::Request, "request_answered", request);
-    record.with("server", flight.server->id())
-        .with("status", static_cast<std::uint64_t>(end.status))
-        .with("attempts", std::uint64_t{ request.attempts })
-        .with("took", (now - request.arrivedAt).count)
-        .with("at_server", (now - flight.sentAt).count);
-    actions.emplace_back(std::move(record));
+    actions.emplace_back(recordOfAnswered(request, flight, end, now));
     actions.emplace_back(PassAnswer{ .request = request.number, .attempt = flight.attempt });
     this->close(request, now, actions);
 }
@@ -393,17 +344,11 @@
     this->parts.counters->add(reason);
     this->parts.counters->add(mayHaveRun ? DecisionCount::RefusedUnknown : DecisionCount::RefusedNotRun);
     const Milliseconds comeBack = this->comeBackAfter(*request.route, reason);
-    DecisionRecord record = recordOf(RecordTopic::Refusal, "request_refused", request);
-    record.with("outcome", nameOf(outcome))
-        .with("reason", burlreach::nameOf(reason))
-        .with("attempts", std::uint64_t{ request.attempts })
-        .with("took", (now - request.arrivedAt).count)
-        .with("come_back_after", comeBack.count)
-        .with("waiting", std::uint64_t{ request.service ? request.service->queue.size() : 0 })
-        .with("version", this->parts.services->version());
-    actions.emplace_back(std::move(record));
-    actions.emplace_back(
-        RefuseRequest{ .request = request.number, .outcome = outcome, .reason = reason, .comeBackAfter = comeBack });
+    const RefuseRequest refusal{
+        .request = request.number, .outcome = outcome, .reason = reason, .comeBackAfter = comeBack
+    };
+    actions.emplace_back(recordOfRefused(request, refusal, this->parts.services->version(), now));
+    actions.emplace_back(refusal);
     this->close(request, now, actions);
 }
 
@@ -425,10 +370,9 @@
     if (found == this->requests.end())
         return;
     this->parts.counters->add(DecisionCount::CallersGone);
-    DecisionRecord record = recordOf(RecordTopic::Request, "caller_gone", found->second);
-    record.with("attempts", std::uint64_t{ found->second.attempts })
-        .with("took", (now - found->second.arrivedAt).count);
-    actions.emplace_back(std::move(record));
+    actions.emplace_back(recordOfRequest(RecordTopic::Request, "caller_gone", found->second)
+                             .with("attempts", std::uint64_t{ found->second.attempts })
+                             .with("took", (now - found->second.arrivedAt).count));
     const std::shared_ptr<ServiceState> service = found->second.service;
     this->close(found->second, now, actions);
     this->pump(*service, now, actions);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -70,8 +70,6 @@
     void enqueue(RequestState& request, Milliseconds now, Actions& actions);
     void pump(ServiceState& service, Milliseconds now, Actions& actions);
     void send(RequestState& request, std::shared_ptr<BackendServerState> server, Milliseconds now, Actions& actions);
-    void recordSent(
-        const RequestState& request, const BackendServerState& server, Milliseconds now, Actions& actions) const;
 
     void learn(
         RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions) const;
--- /dev/null
+++ b/Source/Node/RequestRecords.cpp
@@ -0,0 +1,82 @@
+#include "Node/RequestRecords.h"
+
+namespace burlreach {
+
+namespace {
+
+std::string_view nameOf(RefusedOutcome outcome)
+{
+    return outcome == RefusedOutcome::NotRun ? "not_run" : "unknown";
+}
+
+}
+
+DecisionRecord recordOfRequest(RecordTopic topic, std::string_view event, const RequestState& request)
+{
+    DecisionRecord record{ .topic = topic, .event = event, .subject = request.requestId, .fields = {} };
+    return record.with("route", request.route->name);
+}
+
+DecisionRecord recordOfUnrouted(const RequestArrived& event, RefusalReason reason, std::uint64_t version)
+{
+    DecisionRecord record{
+        .topic = RecordTopic::Refusal, .event = "request_refused", .subject = event.requestId, .fields = {}
+    };
+    return record.with("host", event.host)
+        .with("path", event.path)
+        .with("reason", burlreach::nameOf(reason))
+        .with("version", version);
+}
+
+DecisionRecord recordOfSent(
+    const RequestState& request, const BackendServerState& server, const KnowledgeUsed& used, Milliseconds now)
+{
+    const LoadReport& report = server.report();
+    return recordOfRequest(RecordTopic::Request, "attempt_sent", request)
+        .with("server", server.id())
+        .with("attempt", std::uint64_t{ request.attempts })
+        .with("in_flight", std::uint64_t{ server.inFlight() })
+        .with("others", report.others)
+        .with("work_percent", std::uint64_t{ report.figures.workPercent })
+        .with("figures_age", (now - report.at).count)
+        .with("waited", (now - request.arrivedAt).count)
+        .with("time_left", (request.deadline - now).count)
+        .with("confirmed_age", (now - used.confirmedAt).count)
+        .with("version", used.version);
+}
+
+DecisionRecord recordOfFailed(
+    const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
+{
+    return recordOfRequest(RecordTopic::Refusal, "attempt_failed", request)
+        .with("server", flight.server->id())
+        .with("result", burlreach::nameOf(end.result))
+        .with("status", static_cast<std::uint64_t>(end.status))
+        .with("took", (now - flight.sentAt).count);
+}
+
+DecisionRecord recordOfAnswered(
+    const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
+{
+    return recordOfRequest(RecordTopic::Request, "request_answered", request)
+        .with("server", flight.server->id())
+        .with("status", static_cast<std::uint64_t>(end.status))
+        .with("attempts", std::uint64_t{ request.attempts })
+        .with("took", (now - request.arrivedAt).count)
+        .with("at_server", (now - flight.sentAt).count);
+}
+
+DecisionRecord recordOfRefused(
+    const RequestState& request, const RefuseRequest& refusal, std::uint64_t version, Milliseconds now)
+{
+    return recordOfRequest(RecordTopic::Refusal, "request_refused", request)
+        .with("outcome", nameOf(refusal.outcome))
+        .with("reason", burlreach::nameOf(refusal.reason))
+        .with("attempts", std::uint64_t{ request.attempts })
+        .with("took", (now - request.arrivedAt).count)
+        .with("come_back_after", refusal.comeBackAfter.count)
+        .with("waiting", std::uint64_t{ request.service ? request.service->queue.size() : 0 })
+        .with("version", version);
+}
+
+}
