--- a/Tests/Store/ValuePackingTest.cpp
+++ b/Tests/Store/ValuePackingTest.cpp
@@ -72,7 +72,8 @@
     constexpr int damages = 200;
     for (int count = 0; count < damages; ++count) {
         std::string damaged = packed;
-        damaged[random.below(damaged.size())] ^= static_cast<char>(1 + random.below(255));
+        char& byte = damaged[random.below(damaged.size())];
+        byte = static_cast<char>(byte ^ static_cast<char>(1 + random.below(255)));
         damaged.resize(damaged.size() - random.below(2) * random.below(damaged.size()));
         const auto again = unpackValue(damaged, "", Document.size());
         CHECK(!again || *again == Document);
