Keep backend servers whose records lapsed while the store was away

Ruled out: keeping every removed server for a while: one that leaves without a word would get requests beyond the bound. Only what is first found missing after 2.5 s without a word of the store is kept, for 2 s from that word, and not what was draining before.

--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -66,6 +66,8 @@
         return "backend_server_changed";
     case BackendServerChange::Kind::Draining:
         return "backend_server_draining";
+    case BackendServerChange::Kind::Lapsed:
+        return "backend_server_lapsed";
     case BackendServerChange::Kind::Gone:
         return "backend_server_gone";
     }
@@ -207,6 +209,8 @@
 void Node::dispatch(const ControlTimer&, Milliseconds now, Actions& actions)
 {
     this->news.tick(now, actions);
+    for (const BackendServerChange& change : this->services.endLapses(now))
+        actions.emplace_back(this->backendServerChanged(change, now, actions).with("heard_from", "nobody"));
     const std::size_t members = this->news.instances(now);
     this->services.setInstances(members);
     this->probes.setFleet(members, this->services.dataCentres());
@@ -246,7 +250,7 @@
 
 Milliseconds Node::nextControlDue() const
 {
-    Milliseconds due = std::min(this->news.nextDue(), this->changes.nextDue());
+    Milliseconds due = std::min({ this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd() });
     if (this->store.isWatching() || !this->store.view().revision())
         due = std::min(due, this->store.nextAt());
     return due;
@@ -308,21 +312,27 @@
 
 void Node::adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions)
 {
-    for (const BackendServerChange& change : this->services.setBackendServers(item.facts, now)) {
-        const bool isGone = change.kind == BackendServerChange::Kind::Gone;
-        if (isGone)
-            this->probes.forget(change.record.id);
-        if (isGone || change.kind == BackendServerChange::Kind::Draining)
-            actions.emplace_back(StopSendingTo{ .backendServer = change.record.id });
-        actions.emplace_back(beliefOf(nameOf(change.kind), change.record.id)
-                                 .with("service", change.record.service)
-                                 .with("address", change.record.address.text())
+    const Milliseconds lapsesUntil = this->store.lapsesUntil(now);
+    for (const BackendServerChange& change : this->services.setBackendServers(item.facts, lapsesUntil, now)) {
+        actions.emplace_back(this->backendServerChanged(change, now, actions)
                                  .with("revision", item.revision)
-                                 .with("heard_from", nameOf(item.source))
-                                 .with("confirmed_age", (now - this->store.confirmedAt()).count));
+                                 .with("heard_from", nameOf(item.source)));
     }
 }
 
+DecisionRecord Node::backendServerChanged(const BackendServerChange& change, Milliseconds now, Actions& actions)
+{
+    const bool isGone = change.kind == BackendServerChange::Kind::Gone;
+    if (isGone)
+        this->probes.forget(change.record.id);
+    if (isGone || change.kind == BackendServerChange::Kind::Draining)
+        actions.emplace_back(StopSendingTo{ .backendServer = change.record.id });
+    return beliefOf(nameOf(change.kind), change.record.id)
+        .with("service", change.record.service)
+        .with("address", change.record.address.text())
+        .with("confirmed_age", (now - this->store.confirmedAt()).count);
+}
+
 void Node::changeAnswered(OperatorCallNumber call, const v1::ChangeAnswer& answer)
 {
     this->changeAnswers.push_back({ .call = call, .answer = answer });
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -91,6 +91,8 @@
     void adopt(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions);
+    /** Does what follows from the change; gives its record. */
+    DecisionRecord backendServerChanged(const BackendServerChange& change, Milliseconds now, Actions& actions);
     void askStore(Milliseconds now, Actions& actions);
     void noteStaleness(Milliseconds now, Actions& actions);
     void noteWatching(Actions& actions);
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -61,6 +61,7 @@
 
 void ServiceTable::put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes)
 {
+    this->lapsed.erase(record.id);
     const auto [known, isNew] = this->records.emplace(record.id, record);
     const bool startsDraining = record.draining && (isNew || !known->second.draining);
     auto kind = isNew ? BackendServerChange::Kind::Added : BackendServerChange::Kind::Changed;
@@ -74,6 +75,7 @@
 
 void ServiceTable::remove(const std::string& id, std::vector<BackendServerChange>& changes)
 {
+    this->lapsed.erase(id);
     const auto known = this->records.find(id);
     if (known == this->records.end())
         return;
@@ -83,13 +85,49 @@
     this->records.erase(known);
 }
 
-std::vector<BackendServerChange> ServiceTable::setBackendServers(const Facts& facts, Milliseconds now)
+bool ServiceTable::lapse(
+    const std::string& id, Milliseconds until, Milliseconds now, std::vector<BackendServerChange>& changes)
+{
+    const auto known = this->records.find(id);
+    if (until <= now || known == this->records.end() || known->second.draining)
+        return false;
+    const bool isNew = this->lapsed.emplace(id, until).second;
+    if (isNew)
+        changes.push_back({ .kind = BackendServerChange::Kind::Lapsed, .record = known->second });
+    return true;
+}
+
+std::vector<BackendServerChange> ServiceTable::endLapses(Milliseconds now)
+{
+    std::vector<BackendServerChange> changes;
+    std::vector<std::string> ended;
+    for (const auto& [id, until] : this->lapsed) {
+        if (until <= now)
+            ended.push_back(id);
+    }
+    for (const std::string& id : ended)
+        this->remove(id, changes);
+    return changes;
+}
+
+Milliseconds ServiceTable::nextLapseEnd() const
+{
+    Milliseconds next = Never;
+    for (const auto& [id, until] : this->lapsed)
+        next = std::min(next, until);
+    return next;
+}
+
+std::vector<BackendServerChange> ServiceTable::setBackendServers(
+    const Facts& facts, Milliseconds lapsesUntil, Milliseconds now)
 {
     std::vector<BackendServerChange> changes;
     for (const BackendServerRecord& record : facts.backendServers)
         this->put(record, now, changes);
-    for (const std::string& id : facts.goneBackendServers)
-        this->remove(id, changes);
+    for (const std::string& id : facts.goneBackendServers) {
+        if (!this->lapse(id, lapsesUntil, now, changes))
+            this->remove(id, changes);
+    }
     if (!facts.areAllBackendServers)
         return changes;
     std::set<std::string_view> named;
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -25,6 +25,7 @@
         Added,
         Changed,
         Draining,
+        Lapsed, // its record is missing and may come back
         Gone
     };
 
@@ -43,7 +44,12 @@
     ServiceTable(Options options, Random& random);
 
     void setRouting(std::shared_ptr<const PreparedRouting> next);
-    std::vector<BackendServerChange> setBackendServers(const Facts& facts, Milliseconds now);
+    /** Records that are gone are kept until this time as lapsed, unless it has passed. */
+    std::vector<BackendServerChange> setBackendServers(const Facts& facts, Milliseconds lapsesUntil, Milliseconds now);
+    /** Takes those as gone that lapsed and did not come back in time. */
+    std::vector<BackendServerChange> endLapses(Milliseconds now);
+    /** When endLapses() has something to do; Never when nothing lapsed. */
+    Milliseconds nextLapseEnd() const;
     void setInstances(std::size_t instances);
 
     /** False before the first configuration. */
@@ -66,6 +72,8 @@
     void forgetTurns();
     void put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes);
     void remove(const std::string& id, std::vector<BackendServerChange>& changes);
+    /** True when the record may have lapsed only; it is then kept for a while. */
+    bool lapse(const std::string& id, Milliseconds until, Milliseconds now, std::vector<BackendServerChange>& changes);
 
     Options options;
     Random* random;
@@ -76,6 +84,7 @@
     std::unordered_map<std::string, std::shared_ptr<ServiceState>> byNames;
     std::map<std::string, BackendServerRecord, std::less<>> records;
     std::unordered_map<std::string, WeightedTurn> turns; // by route
+    std::map<std::string, Milliseconds> lapsed; // until when the record may come back, by id
 };
 
 }
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+/** Without a word for longer the store was away: whoever hears nothing asks it within 1.7 s. */
+constexpr Milliseconds AwayAfter{ 2500 };
+/**
+ * By then the records of living backend servers are back: the users' figure.
+ * Shorter than the 3 s after trouble in which an instance need not know yet.
+ */
+constexpr Milliseconds LapsedKept{ 2000 };
 /** On the way from one instance to another. */
 constexpr Milliseconds Transit{ 2 };
 /**
@@ -44,7 +51,7 @@
     const StoreNews news = this->reader.answered(answer, now);
     this->noteStore(answer, news.isFailure, now, actions);
     if (news.isConfirmed)
-        this->confirmed = std::max(this->confirmed, news.confirmedAt);
+        this->noteConfirmed(news.confirmedAt, now);
     this->tell(news.changes, FactSource::Store, now, actions);
     return news.isConfirmed;
 }
@@ -107,10 +114,28 @@
     }
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
     if (news.is_confirmed())
-        this->confirmed = std::max(this->confirmed, now - age - Transit);
+        this->noteConfirmed(now - age - Transit, now);
     return true;
 }
 
+void StoreKeeper::noteConfirmed(Milliseconds at, Milliseconds now)
+{
+    if (this->isAway(now))
+        this->returnedAt = now;
+    this->confirmed = std::max(this->confirmed, at);
+}
+
+Milliseconds StoreKeeper::lapsesUntil(Milliseconds now) const
+{
+    // What is heard first after the silence is applied before it is confirmed.
+    return (this->isAway(now) ? now : this->returnedAt) + LapsedKept;
+}
+
+bool StoreKeeper::isAway(Milliseconds now) const
+{
+    return this->confirmed != LongAgo && now - this->confirmed > AwayAfter;
+}
+
 void StoreKeeper::takeWritten(const StoreItem& item, Milliseconds now, Actions& actions)
 {
     const auto changes = this->storeView.applyChanges(std::span(&item, 1), this->storeView.revision());
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -56,6 +56,11 @@
     const StoreView& view() const { return this->storeView; }
     /** The view was current at this time. */
     Milliseconds confirmedAt() const { return this->confirmed; }
+    /**
+     * Until when a record that is missing may come back, since it may have
+     * lapsed only while the store was away; before now when it was not away.
+     */
+    Milliseconds lapsesUntil(Milliseconds now) const;
     bool isWatching() const { return this->reader.isWatching(); }
     bool isAsking() const { return this->reader.isAsking(); }
     Milliseconds nextAt() const { return this->reader.nextAt(); }
@@ -65,6 +70,9 @@
     /** Those that can be read; the flag is cleared, and a record made, when one cannot. */
     std::vector<StoreItem> itemsOf(
         const google::protobuf::RepeatedPtrField<peers::Item>& messages, bool& areAllRead, Actions& actions) const;
+    void noteConfirmed(Milliseconds at, Milliseconds now);
+    /** Nothing was heard of the store for too long; false before the first word. */
+    bool isAway(Milliseconds now) const;
     void tell(const std::vector<StoreItem>& changes, FactSource source, Milliseconds now, Actions& actions);
 
     StoreView storeView;
@@ -73,6 +81,7 @@
     StoreListener* listener;
     DecisionCounters* counters;
     Milliseconds confirmed = LongAgo;
+    Milliseconds returnedAt = LongAgo; // first heard of after it was away
     bool storeAnswers = true;
     unsigned failuresInARow = 0;
 };
--- a/Tests/Node/LargeItemsTest.cpp
+++ b/Tests/Node/LargeItemsTest.cpp
@@ -1,8 +1,8 @@
 #include "Base/Random.h"
+#include "Tests/Virtual/LineFactTranslator.h"
 #include "Tests/Virtual/VirtualFleet.h"
 
 #include <memory>
-#include <sstream>
 #include <string>
 
 // Redefines operator new: after all other headers.
@@ -12,61 +12,6 @@
 
 namespace {
 
-constexpr std::string_view DocumentKey = "document";
-constexpr std::string_view ServerPrefix = "server/";
-constexpr std::string_view ServiceName = "bookings";
-
-/** A document of routes, a line each, and an item for each backend server that holds its state. */
-class LineFactTranslator final : public FactTranslator {
-public:
-    std::string watchedPrefix() const override { return ""; }
-
-    Facts translate(const StoreItem& item) const override
-    {
-        this->longestTranslated = std::max(this->longestTranslated, item.value.size());
-        return item.key == DocumentKey ? this->documentFacts(item) : this->serverFacts(item);
-    }
-
-    /** The size of the largest value so far. */
-    std::size_t longest() const { return this->longestTranslated; }
-
-private:
-    Facts documentFacts(const StoreItem& item) const
-    {
-        Facts facts;
-        facts.configuration.emplace();
-        facts.configuration->services.push_back({ .name = std::string(ServiceName) });
-        std::istringstream lines(item.value);
-        std::string name;
-        std::string host;
-        std::string prefix;
-        while (lines >> name >> host >> prefix) {
-            Route route;
-            route.name = name;
-            route.host = host;
-            route.pathPrefix = prefix;
-            route.services.push_back({ .service = std::string(ServiceName) });
-            facts.configuration->routes.push_back(std::move(route));
-        }
-        return facts;
-    }
-
-    Facts serverFacts(const StoreItem& item) const
-    {
-        Facts facts;
-        BackendServerRecord record;
-        record.id = item.key.substr(ServerPrefix.size());
-        record.service = ServiceName;
-        record.address = { .host = "10.0.9.1", .port = 80 };
-        record.dataCentre = "dc-1";
-        record.draining = item.value == "draining";
-        facts.backendServers.push_back(std::move(record));
-        return facts;
-    }
-
-    mutable std::size_t longestTranslated = 0;
-};
-
 /**
  * About 2,000 bytes a route, a fifth of them random as names, hosts and paths
  * are. Few and long ones, since the runner's leak check counts each allocation.
@@ -89,7 +34,7 @@
 
 std::string stateOf(const Node& node, const std::string& server, Milliseconds now)
 {
-    const v1::ShowLoadAnswer load = node.showLoad(std::string(ServiceName), now);
+    const v1::ShowLoadAnswer load = node.showLoad(std::string(LineServiceName), now);
     for (const v1::BackendServerLoad& item : load.backend_servers()) {
         if (item.backend_server() == server)
             return item.state();
@@ -147,7 +92,7 @@
             item->set_value(value);
             item->set_revision(10);
         };
-        add(std::string(DocumentKey), documentOf(2, 1));
+        add(std::string(LineDocumentKey), documentOf(2, 1));
         add("server/s1", "ready");
         add("server/s2", "ready");
         this->node->handle(PeerMessageArrived{ .message = push }, { 0 }, this->actions);
@@ -189,7 +134,7 @@
 {
     const std::string document = documentOf(100, 2);
     peers::PeerMessage message = newsOf(10, 11, 1);
-    addItem(message, std::string(DocumentKey), document, 11);
+    addItem(message, std::string(LineDocumentKey), document, 11);
     this->node->handle(PeerMessageArrived{ .message = message }, { 100 }, this->actions);
     CHECK_TEXT(this->translator->longest() < document.size(), "that is work for outside of the decisions");
 }
@@ -207,7 +152,7 @@
     options.strongInstances = 8;
     VirtualFleet fleet(options);
     VirtualStore& store = fleet.theStore();
-    store.put(std::string(DocumentKey), documentOf(20, 1));
+    store.put(std::string(LineDocumentKey), documentOf(20, 1));
     constexpr std::size_t servers = 12;
     for (std::size_t server = 0; server < servers; ++server)
         store.put("server/s" + std::to_string(server), "ready");
@@ -219,7 +164,7 @@
     std::size_t late = 0;
     for (std::size_t server = 0; server < servers; ++server) {
         if (server % 6 == 0) {
-            store.put(std::string(DocumentKey), document);
+            store.put(std::string(LineDocumentKey), document);
             document += "changed x.example /x/\n";
         }
         const std::string id = "s" + std::to_string(server);
