--- a/Tests/Node/LapsedServersTest.cpp
+++ b/Tests/Node/LapsedServersTest.cpp
@@ -98,7 +98,7 @@
         this->node->handle(ControlTimer{}, this->now, this->actions);
     }
 
-    std::string state()
+    std::string state() const
     {
         const v1::ShowLoadAnswer load = this->node->showLoad(std::string(LineServiceName), this->now);
         return load.backend_servers().empty() ? "gone" : load.backend_servers(0).state();
