Begin repeatable requests of one connection side by side

Cause: a session gave one request at a time to the decisions, and what its caller had sent behind it waited in the buffer for the whole answer.

Change: repeatable requests that were sent ahead begin at once, at most 8 unanswered a connection; AnswerOrder keeps the answers in the order of the requests. A run-once request is not begun before all ahead of it are answered and written, since an answer that closes the connection tells its caller that the rest was not read. Only the newest begun request's answer may close, so a planned stop answers all that has begun and reads nothing behind it. A caller that goes cancels all of its requests. No interim answer while another answer is awaited. Time held back is taken off the time left.

Ruled out: going by the method (GET) instead of the route, which is what says whether a request may be repeated.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -1,7 +1,6 @@
 #include "Http/HttpSession.h"
 
 #include <asio/write.hpp>
-#include <limits>
 #include <utility>
 
 namespace burlreach {
@@ -12,6 +11,18 @@
 
 /** A caller that sends more ahead than this is not read on until it has its answer. */
 constexpr std::size_t MostReadAhead = 65536;
+/**
+ * Requests of one connection that have begun and whose answers are not written.
+ * Bounds what a caller that sends ahead or reads slowly takes from the others.
+ */
+constexpr std::size_t MostBegun = 8;
+
+HttpRequestProblem problemOf(const boost::beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+        return HttpRequestProblem::HeaderTooLarge;
+    return error == http::error::body_limit ? HttpRequestProblem::BodyTooLarge : HttpRequestProblem::Malformed;
+}
 
 }
 
@@ -46,8 +57,7 @@
 
 bool HttpSession::isIdle() const
 {
-    return this->state == State::Reading && this->input.empty() && this->requestBegan == Never
-        && !this->hasUnreadBytes();
+    return this->awaitsRequest() && this->input.empty() && this->requestBegan == Never && !this->hasUnreadBytes();
 }
 
 bool HttpSession::hasUnreadBytes() const
@@ -78,22 +88,43 @@
 {
     if (!this->socket.is_open())
         return;
-    if (error) {
-        const bool isAwaited = this->state == State::Answering;
-        this->close();
-        if (isAwaited)
-            this->handler->callerGone(this->shared_from_this());
-        return;
-    }
+    if (error)
+        return this->abandon();
     this->lastActive = this->clock->now();
     this->input.append(this->chunk.data(), size);
-    if (this->state == State::Reading)
-        return this->parse();
+    this->advance();
+}
+
+void HttpSession::abandon()
+{
+    this->close();
+    if (this->answers.hasUnanswered())
+        this->handler->callerGone(this->shared_from_this());
+}
+
+void HttpSession::advance()
+{
+    while (this->socket.is_open() && this->mayParse()) {
+        if (!this->whole && !this->parse())
+            break;
+        if (!this->mayBegin(this->whole->message))
+            break;
+        this->begin();
+    }
+    if (this->isEnding)
+        this->input.clear();
+    this->continueIfAsked();
     if (this->input.size() < MostReadAhead)
         this->read();
 }
 
-void HttpSession::parse()
+bool HttpSession::mayParse() const
+{
+    const bool isLastBegun = this->isLast && this->isUnfinished();
+    return !this->isEnding && !isLastBegun && this->answers.mayBeFollowed() && this->answers.size() < MostBegun;
+}
+
+bool HttpSession::parse()
 {
     while (!this->input.empty()) {
         if (this->requestBegan == Never)
@@ -101,97 +132,98 @@
         boost::beast::error_code error;
         const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
-        if (error == http::error::header_limit)
-            return this->unreadable(HttpRequestProblem::HeaderTooLarge);
-        if (error == http::error::body_limit)
-            return this->unreadable(HttpRequestProblem::BodyTooLarge);
-        if (error && error != http::error::need_more)
-            return this->unreadable(HttpRequestProblem::Malformed);
-        if (this->parser->is_done())
-            return this->requestParsed();
+        if (error && error != http::error::need_more) {
+            this->unreadable(problemOf(error));
+            return false;
+        }
+        if (this->parser->is_done()) {
+            this->whole = { .number = 0, .message = this->parser->release(), .readAt = this->clock->now() };
+            this->newParser();
+            return true;
+        }
         if (error == http::error::need_more || !used)
             break;
     }
-    this->continueIfAsked();
-    this->read();
+    return false;
+}
+
+bool HttpSession::mayBegin(const HttpRequest& request) const
+{
+    return !this->isUnfinished() || this->handler->mayBeginEarly(request);
+}
+
+void HttpSession::begin()
+{
+    ReadRequest request = std::move(*this->whole);
+    this->whole.reset();
+    request.number = this->answers.begin({ .version = request.message.version(),
+        .isHead = request.message.method() == http::verb::head,
+        .keepsConnection = request.message.keep_alive() });
+    this->handler->requestRead(this->shared_from_this(), std::move(request));
 }
 
 void HttpSession::continueIfAsked()
 {
-    if (this->wasContinued || !this->parser->is_header_done())
+    // An interim answer would be taken for that of an earlier request.
+    if (this->wasContinued || this->isUnfinished() || !this->parser->is_header_done())
         return;
     this->wasContinued = true;
     if (!http::token_list(this->parser->get()[http::field::expect]).exists("100-continue"))
         return;
-    static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(this->socket, asio::buffer(interim),
         [self = this->shared_from_this()](const asio::error_code&, std::size_t) {});
 }
 
-void HttpSession::requestParsed()
-{
-    HttpRequest request = this->parser->release();
-    this->state = State::Answering;
-    this->isHead = request.method() == http::verb::head;
-    this->version = request.version();
-    this->keepsAlive = request.keep_alive();
-    this->newParser();
-    this->read();
-    this->handler->requestRead(this->shared_from_this(), std::move(request));
-}
-
 void HttpSession::unreadable(HttpRequestProblem problem)
 {
-    this->state = State::Answering;
     this->isLast = true;
     this->input.clear();
-    this->handler->requestUnreadable(this->shared_from_this(), problem);
+    const HttpRequestNumber request = this->answers.begin({ .keepsConnection = false });
+    this->handler->requestUnreadable(this->shared_from_this(), request, problem);
 }
 
-void HttpSession::answer(HttpResponse response)
+void HttpSession::answer(HttpRequestNumber request, HttpResponse response)
 {
-    if (this->state != State::Answering || !this->socket.is_open())
-        return;
-    this->state = State::Writing;
-    const bool closes = this->isLast || !this->keepsAlive;
-    response.version(this->version);
-    response.keep_alive(!closes);
-    this->write(encode(std::move(response), this->isHead), closes);
+    if (this->socket.is_open() && this->answers.put(request, std::move(response)))
+        this->writeReady();
 }
 
-void HttpSession::write(std::string bytes, bool closes)
+void HttpSession::writeReady()
 {
-    this->output = std::move(bytes);
+    if (!this->output.empty())
+        return;
+    ReadyAnswers ready = this->answers.takeReady(this->isLast);
+    if (ready.bytes.empty())
+        return;
+    this->isEnding = ready.isLast;
+    this->output = std::move(ready.bytes);
     asio::async_write(this->socket, asio::buffer(this->output),
-        [self = this->shared_from_this(), closes](
-            const asio::error_code& error, std::size_t) { self->written(error, closes); });
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->written(error); });
 }
 
-void HttpSession::written(const asio::error_code& error, bool closes)
+void HttpSession::written(const asio::error_code& error)
 {
     if (!this->socket.is_open())
         return;
     if (error)
-        return this->close();
+        return this->abandon();
     this->lastActive = this->clock->now();
     this->output.clear();
-    if (closes) {
+    if (this->isEnding) {
         // What the caller still sends is read, or closing would reset the answer away.
         asio::error_code ignored;
         this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
-    this->state = closes ? State::Writing : State::Reading;
-    this->input = closes ? std::string() : std::move(this->input);
-    if (closes)
-        return this->read();
-    this->parse();
+    this->writeReady();
+    this->advance();
 }
 
 void HttpSession::tend(Milliseconds now)
 {
-    if (!this->socket.is_open() || this->state == State::Answering)
+    if (!this->socket.is_open() || !this->answers.isEmpty())
         return;
-    const bool isSlow = this->state == State::Reading && !this->parser->is_header_done() && this->requestBegan != Never
+    const bool isSlow = this->awaitsRequest() && !this->parser->is_header_done() && this->requestBegan != Never
         && now - this->requestBegan > this->limits->headerTimeout;
     if (isSlow)
         return this->unreadable(HttpRequestProblem::TooSlow);
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Http/AnswerOrder.h"
 #include "Http/HttpMessage.h"
 
 #include <array>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace burlreach {
 
@@ -24,17 +26,31 @@
     TooSlow // its header was not whole in time
 };
 
+/** A whole request of a connection. */
+struct ReadRequest {
+    HttpRequestNumber number = 0;
+    HttpRequest message;
+    Milliseconds readAt; // earlier than now when it had to wait for the answers before it
+};
+
 /** Takes what the sessions of a listener read. */
 class HttpSessionHandler {
 public:
     virtual ~HttpSessionHandler() = default;
-    /** A whole request; the session waits for its answer() before it reads the next one. */
-    virtual void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) = 0;
+    /** To be answered by answer() with its number; others of the session may be unanswered. */
+    virtual void requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest request) = 0;
     /** To be answered too; the connection is closed afterwards. */
-    virtual void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) = 0;
+    virtual void requestUnreadable(
+        const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem)
+        = 0;
+    /**
+     * True when a request that was sent ahead may begin before those ahead of
+     * it are answered. If the connection ends first, its caller sends it again.
+     */
+    virtual bool mayBeginEarly(const HttpRequest&) const { return false; }
     /** A connection was closed at once, since too many are open. */
     virtual void sessionRefused() { }
-    /** The caller closed its connection while it waited for an answer. */
+    /** The connection is gone while some of its requests had no answer. */
     virtual void callerGone(const std::shared_ptr<HttpSession>& session) = 0;
 };
 
@@ -47,9 +63,10 @@
 };
 
 /**
- * A caller's connection: one request after the other, each with its answer.
- * While an answer is awaited it goes on reading, to notice that the caller has
- * gone; requests sent ahead wait in its buffer.
+ * A caller's connection. Requests that were sent ahead begin side by side as
+ * far as the handler allows, up to a bound; their answers go out in the order
+ * of the requests. While answers are awaited it goes on reading, to notice
+ * that the caller has gone.
  */
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
@@ -57,9 +74,9 @@
         const HttpSessionLimits& limits);
 
     void start();
-    /** Answers the request that was read last. */
-    void answer(HttpResponse response);
-    /** Every answer from now on is the last one of its connection. */
+    /** Takes the answer of a request; it is written when those ahead of it are. */
+    void answer(HttpRequestNumber request, HttpResponse response);
+    /** No request begins from now on behind one that is unanswered; the last answer closes the connection. */
     void closeAfterAnswer() { this->isLast = true; }
     void close();
     /** Closes the connection when it has been idle or slow for too long. */
@@ -68,19 +85,14 @@
     std::uint64_t number() const { return this->sessionNumber; }
     bool isOpen() const { return this->socket.is_open(); }
     /** An answer is awaited or not yet written whole. */
-    bool isUnfinished() const { return this->state == State::Answering || !this->output.empty(); }
+    bool isUnfinished() const { return !this->answers.isEmpty() || !this->output.empty(); }
     /** No request is being read, answered or written, and none waits to be read. */
     bool isIdle() const;
     /** A request may come, or a part of one is there. */
-    bool awaitsRequest() const { return this->state == State::Reading; }
+    bool awaitsRequest() const { return !this->isUnfinished() && !this->isEnding; }
     Milliseconds lastActiveAt() const { return this->lastActive; }
 
 private:
-    enum class State {
-        Reading,
-        Answering, // the handler has the request
-        Writing
-    };
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     /** Bytes have come that a late thread has not read yet; closing would reset the connection. */
@@ -88,30 +100,37 @@
     void newParser();
     void read();
     void received(const asio::error_code& error, std::size_t size);
-    void parse();
-    void requestParsed();
+    /** Begins requests while some are whole in the input and may begin; goes on reading. */
+    void advance();
+    /** Another request may be read from the input. */
+    bool mayParse() const;
+    /** True when a request became whole. */
+    bool parse();
+    bool mayBegin(const HttpRequest& request) const;
+    void begin();
     void unreadable(HttpRequestProblem problem);
     void continueIfAsked();
-    void write(std::string bytes, bool closes);
-    void written(const asio::error_code& error, bool closes);
+    void writeReady();
+    void written(const asio::error_code& error);
+    /** Ends the connection for good and tells the handler of requests without an answer. */
+    void abandon();
 
     asio::ip::tcp::socket socket;
     std::uint64_t sessionNumber;
     HttpSessionHandler* handler;
     const Clock* clock;
     const HttpSessionLimits* limits;
-    State state = State::Reading;
+    AnswerOrder answers;
     std::optional<Parser> parser;
+    std::optional<ReadRequest> whole; // read, and not begun yet
     static constexpr std::size_t ReadSize = 8192;
     std::array<char, ReadSize> chunk{};
     std::string input; // read, not yet parsed
     std::string output;
     bool isReading = false; // a read is under way
-    bool isLast = false;
-    bool isHead = false;
+    bool isLast = false; // the newest request is the last one
+    bool isEnding = false; // the last answer is being written or was
     bool wasContinued = false;
-    unsigned version = 11;
-    bool keepsAlive = true;
     Milliseconds requestBegan = Never; // first byte of the request that is being read
     Milliseconds lastActive;
 };
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -72,6 +72,7 @@
           { .dialect = this->dialect.traffic.get(),
               .clock = &this->clock,
               .sink = this,
+              .repeats = this,
               .metrics = &this->metrics,
               .reader = this })
     , operators(givenSettings.operatorsAddress, *this, *this)
@@ -162,6 +163,13 @@
     return writeMetrics(this->showCounters(), this->metrics);
 }
 
+bool Instance::mayRepeat(std::string_view host, std::string_view method, std::string_view path) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto route = this->node.serviceTable().route(host, method, path);
+    return route && route->repeat == Repeat::MayRepeat;
+}
+
 bool Instance::isReady() const
 {
     const std::lock_guard lock(this->mutex);
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -34,7 +34,7 @@
  * instances, signals) and the thread of traffic that feed them events and
  * carry their actions out.
  */
-class Instance final : private EventSink, private InstanceReader, private PeerMessageHandler {
+class Instance final : private EventSink, private InstanceReader, private RepeatLookup, private PeerMessageHandler {
 public:
     Instance(const Settings& settings, SettingsFile file, Dialect dialect);
 
@@ -50,6 +50,7 @@
     v1::ShowLoadAnswer showLoad(const std::string& service) const override;
     v1::ShowCountersAnswer showCounters() const override;
     bool isReady() const override;
+    bool mayRepeat(std::string_view host, std::string_view method, std::string_view path) const override;
     std::string metricsText() const override;
 
     template <typename TrafficAction>
--- a/Source/Program/ReadinessPages.cpp
+++ b/Source/Program/ReadinessPages.cpp
@@ -28,18 +28,19 @@
     return error;
 }
 
-void ReadinessPages::requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request)
+void ReadinessPages::requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest request)
 {
-    const bool isKnown = std::string_view(request.target().data(), request.target().size()) == this->path;
+    const bool isKnown = std::string_view(request.message.target()) == this->path;
     http::status status = this->reader->isReady() ? http::status::ok : http::status::service_unavailable;
     if (!isKnown)
         status = http::status::not_found;
-    session->answer(HttpResponse(status, HttpVersion));
+    session->answer(request.number, HttpResponse(status, HttpVersion));
 }
 
-void ReadinessPages::requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem)
+void ReadinessPages::requestUnreadable(
+    const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem)
 {
-    session->answer(HttpResponse(http::status::bad_request, HttpVersion));
+    session->answer(request, HttpResponse(http::status::bad_request, HttpVersion));
 }
 
 }
--- a/Source/Program/ReadinessPages.h
+++ b/Source/Program/ReadinessPages.h
@@ -19,8 +19,9 @@
     void stop() { this->listener.stopAccepting(); }
 
 private:
-    void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) override;
-    void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) override;
+    void requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest request) override;
+    void requestUnreadable(
+        const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem) override;
     void callerGone(const std::shared_ptr<HttpSession>&) override { }
 
     std::string path;
--- a/Source/Program/TrafficThread.cpp
+++ b/Source/Program/TrafficThread.cpp
@@ -35,6 +35,7 @@
           { .dialect = givenParts.dialect,
               .clock = givenParts.clock,
               .sink = givenParts.sink,
+              .repeats = givenParts.repeats,
               .metrics = givenParts.metrics })
     , readiness(this->context, settings.readinessPath, *givenParts.reader, *givenParts.clock)
 {
--- a/Source/Program/TrafficThread.h
+++ b/Source/Program/TrafficThread.h
@@ -22,6 +22,7 @@
         const TrafficDialect* dialect = nullptr;
         const Clock* clock = nullptr;
         EventSink* sink = nullptr;
+        const RepeatLookup* repeats = nullptr;
         TrafficMetrics* metrics = nullptr;
         const InstanceReader* reader = nullptr;
     };
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ChronoDuration.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -68,9 +69,11 @@
     this->parts.metrics->sessionsRefused = this->listener.refusedSessions();
 }
 
-void RequestDesk::requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest message)
+void RequestDesk::requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest read)
 {
+    HttpRequest& message = read.message;
     const CallerWords words = this->parts.dialect->readCaller(message);
+    const Milliseconds now = this->parts.clock->now();
     const RequestNumber number = ++this->last;
     RequestArrived event;
     event.request = number;
@@ -78,14 +81,16 @@
     event.method = std::string(message.method_string());
     event.path = std::string(message.target());
     event.requestId = words.requestId;
-    event.timeLeft = words.timeLeft;
+    if (words.timeLeft)
+        event.timeLeft = std::max(Milliseconds{}, *words.timeLeft - (now - read.readAt));
     event.bodyBytes = message.body().size();
     Request& request = this->requests[number];
     request.session = session;
+    request.place = read.number;
     request.message = std::move(message);
     request.requestId = words.requestId;
-    request.arrivedAt = this->parts.clock->now();
-    this->bySession[session->number()] = number;
+    request.arrivedAt = now;
+    this->bySession.emplace(session->number(), number);
     this->parts.metrics->openRequests = this->requests.size();
     if (words.isReadable)
         return this->parts.sink->post(event);
@@ -96,10 +101,17 @@
         .comeBackAfter = UsualComeBack });
 }
 
-void RequestDesk::requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem)
+void RequestDesk::requestUnreadable(
+    const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem)
 {
     this->parts.sink->post(RefusedEarly{ .reason = reasonOf(problem) });
-    session->answer(HttpResponse(statusOf(problem), HttpVersion));
+    session->answer(request, HttpResponse(statusOf(problem), HttpVersion));
+}
+
+bool RequestDesk::mayBeginEarly(const HttpRequest& request) const
+{
+    return this->parts.repeats
+        && this->parts.repeats->mayRepeat(valueOf(request, "Host"), request.method_string(), request.target());
 }
 
 void RequestDesk::sessionRefused()
@@ -109,17 +121,27 @@
 
 void RequestDesk::callerGone(const std::shared_ptr<HttpSession>& session)
 {
-    const auto found = this->bySession.find(session->number());
-    if (found == this->bySession.end())
-        return;
-    const RequestNumber number = found->second;
-    this->bySession.erase(found);
-    // The decisions cancel what is under way first.
-    this->parts.sink->post(CallerGone{ .request = number });
-    this->requests.erase(number);
+    std::vector<RequestNumber> gone;
+    const auto [first, end] = this->bySession.equal_range(session->number());
+    for (auto item = first; item != end; ++item)
+        gone.push_back(item->second);
+    this->bySession.erase(session->number());
+    for (const RequestNumber number : gone) {
+        // The decisions cancel what is under way first.
+        this->parts.sink->post(CallerGone{ .request = number });
+        this->requests.erase(number);
+    }
     this->parts.metrics->openRequests = this->requests.size();
 }
 
+void RequestDesk::forgetOfSession(std::uint64_t session, RequestNumber number)
+{
+    const auto [first, end] = this->bySession.equal_range(session);
+    const auto found = std::find_if(first, end, [number](const auto& item) { return item.second == number; });
+    if (found != end)
+        this->bySession.erase(found);
+}
+
 HttpRequest RequestDesk::forwarded(const Request& request, const SendAttempt& action) const
 {
     HttpRequest message = request.message;
@@ -232,6 +254,7 @@
 {
     const auto found = this->requests.find(number);
     const auto session = found->second.session.lock();
+    const HttpRequestNumber place = found->second.place;
     const Milliseconds total = this->parts.clock->now() - found->second.arrivedAt;
     this->parts.metrics->added.add(total - std::min(total, found->second.atBackendServer));
     for (auto& [attempt, item] : found->second.attempts) {
@@ -242,8 +265,8 @@
     this->parts.metrics->openRequests = this->requests.size();
     if (!session)
         return;
-    this->bySession.erase(session->number());
-    session->answer(std::move(response));
+    this->forgetOfSession(session->number(), number);
+    session->answer(place, std::move(response));
 }
 
 void RequestDesk::execute(const SendProbe& action)
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -7,6 +7,7 @@
 #include "Metrics/TrafficMetrics.h"
 #include "Node/Actions.h"
 #include "Node/EventSink.h"
+#include "Node/RepeatLookup.h"
 #include "Traffic/TrafficDialect.h"
 
 #include <asio/io_context.hpp>
@@ -39,6 +40,7 @@
         const TrafficDialect* dialect = nullptr;
         const Clock* clock = nullptr;
         EventSink* sink = nullptr;
+        const RepeatLookup* repeats = nullptr;
         TrafficMetrics* metrics = nullptr;
     };
 
@@ -74,6 +76,7 @@
     /** A request whose caller waits. */
     struct Request {
         std::weak_ptr<HttpSession> session;
+        HttpRequestNumber place = 0; // within the session
         HttpRequest message;
         std::string requestId;
         Milliseconds arrivedAt;
@@ -81,8 +84,10 @@
         std::map<AttemptNumber, Attempt> attempts;
     };
 
-    void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest request) override;
-    void requestUnreadable(const std::shared_ptr<HttpSession>& session, HttpRequestProblem problem) override;
+    void requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest request) override;
+    void requestUnreadable(
+        const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem) override;
+    bool mayBeginEarly(const HttpRequest& request) const override;
     void callerGone(const std::shared_ptr<HttpSession>& session) override;
     void sessionRefused() override;
 
@@ -93,6 +98,7 @@
     void probe(const Probe& probe, std::shared_ptr<HttpConnection> kept);
     void keep(const std::string& backendServer, HttpExchangeEnd& end);
     void finish(RequestNumber number, HttpResponse response);
+    void forgetOfSession(std::uint64_t session, RequestNumber number);
 
     asio::io_context* context;
     Options options;
@@ -101,7 +107,7 @@
     asio::steady_timer acceptTimer;
     HttpConnectionPool connections;
     std::unordered_map<RequestNumber, Request> requests;
-    std::unordered_map<std::uint64_t, RequestNumber> bySession;
+    std::unordered_multimap<std::uint64_t, RequestNumber> bySession;
     RequestNumber last = 0;
 };
 
--- /dev/null
+++ b/Tests/Http/AnswerOrderTest.cpp
@@ -0,0 +1,97 @@
+#include "Http/AnswerOrder.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+/** Something that happens to the answers of a connection. */
+struct Step {
+    char what; // b: a request begins, c: one after which the caller wants to close, p: its answer comes, e: as p, the connection is to end
+    HttpRequestNumber request;
+};
+
+/** Steps, and the bodies that may then be written, in their order; '|' stands for the end of the connection. */
+struct Case {
+    const char* name;
+    std::vector<Step> steps;
+    const char* written;
+    bool hasUnanswered;
+};
+
+const std::vector<Case> Cases{
+    { "one", { { 'b', 1 }, { 'p', 1 } }, "1", false },
+    { "in order", { { 'b', 1 }, { 'b', 2 }, { 'p', 1 }, { 'p', 2 } }, "12", false },
+    { "the second is ready first", { { 'b', 1 }, { 'b', 2 }, { 'p', 2 }, { 'p', 1 } }, "12", false },
+    { "the first is missing", { { 'b', 1 }, { 'b', 2 }, { 'b', 3 }, { 'p', 2 }, { 'p', 3 } }, "", true },
+    { "a gap", { { 'b', 1 }, { 'b', 2 }, { 'b', 3 }, { 'p', 1 }, { 'p', 3 } }, "1", true },
+    { "answered twice", { { 'b', 1 }, { 'p', 1 }, { 'p', 1 } }, "1", false },
+    { "never begun", { { 'b', 1 }, { 'p', 2 } }, "", true },
+    { "the caller closes after the second", { { 'b', 1 }, { 'c', 2 }, { 'p', 2 }, { 'p', 1 } }, "12|", false },
+    { "the end waits for the newest", { { 'b', 1 }, { 'b', 2 }, { 'e', 1 }, { 'e', 2 } }, "12|", false },
+    { "the end is asked for between", { { 'b', 1 }, { 'b', 2 }, { 'p', 2 }, { 'e', 1 } }, "12|", false },
+    { "no end before a request without an answer", { { 'b', 1 }, { 'b', 2 }, { 'e', 1 } }, "1", true },
+};
+
+HttpResponse responseOf(HttpRequestNumber request)
+{
+    HttpResponse response(boost::beast::http::status::ok, 11);
+    response.body() = "body" + std::to_string(request);
+    return response;
+}
+
+/** The digits of the bodies, and whether each says that the connection goes on. */
+std::string summaryOf(const ReadyAnswers& ready)
+{
+    std::string summary;
+    for (std::size_t place = ready.bytes.find("body"); place != std::string::npos;
+         place = ready.bytes.find("body", place + 1))
+        summary += ready.bytes.at(place + 4);
+    const bool saysClose = ready.bytes.find("Connection: close") != std::string::npos;
+    CHECK_EQUAL(ready.isLast, saysClose);
+    return summary + (ready.isLast ? "|" : "");
+}
+
+std::string play(AnswerOrder& order, const std::vector<Step>& steps)
+{
+    std::string written;
+    for (const Step& step : steps) {
+        if (step.what == 'b' || step.what == 'c') {
+            LONGS_EQUAL(step.request, order.begin({ .keepsConnection = step.what == 'b' }));
+            CHECK_EQUAL(step.what == 'b', order.mayBeFollowed());
+            continue;
+        }
+        order.put(step.request, responseOf(step.request));
+        written += summaryOf(order.takeReady(step.what == 'e'));
+    }
+    return written;
+}
+
+}
+
+TEST_GROUP(AnswerOrder){};
+
+TEST(AnswerOrder, AnswersGoOutInTheOrderOfTheRequests)
+{
+    for (const Case& item : Cases) {
+        AnswerOrder order;
+        STRCMP_EQUAL_TEXT(item.written, play(order, item.steps).c_str(), item.name);
+        CHECK_EQUAL_TEXT(item.hasUnanswered, order.hasUnanswered(), item.name);
+        CHECK_EQUAL_TEXT(!item.hasUnanswered, order.isEmpty(), item.name);
+    }
+}
+
+TEST(AnswerOrder, AnAnswerToHeadHasNoBody)
+{
+    AnswerOrder order;
+    order.begin({ .isHead = true });
+    CHECK(order.put(1, responseOf(1)));
+    const ReadyAnswers ready = order.takeReady(false);
+    CHECK(ready.bytes.find("Content-Length: 5") != std::string::npos);
+    CHECK(ready.bytes.find("body") == std::string::npos);
+}
--- a/Tests/Http/HttpListenerTest.cpp
+++ b/Tests/Http/HttpListenerTest.cpp
@@ -22,11 +22,11 @@
 /** Answers every request at once. */
 class AnsweringHandler final : public HttpSessionHandler {
 public:
-    void requestRead(const std::shared_ptr<HttpSession>& session, HttpRequest) override
+    void requestRead(const std::shared_ptr<HttpSession>& session, ReadRequest request) override
     {
-        session->answer(HttpResponse(boost::beast::http::status::ok, 11));
+        session->answer(request.number, HttpResponse(boost::beast::http::status::ok, 11));
     }
-    void requestUnreadable(const std::shared_ptr<HttpSession>&, HttpRequestProblem) override { }
+    void requestUnreadable(const std::shared_ptr<HttpSession>&, HttpRequestNumber, HttpRequestProblem) override { }
     void callerGone(const std::shared_ptr<HttpSession>&) override { }
     void sessionRefused() override { }
 };
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -74,6 +74,16 @@
 
 TEST_GROUP(RequestDesk)
 {
+    /** Paths of small letters may be repeated. */
+    class SmallLetters final : public RepeatLookup {
+    public:
+        bool mayRepeat(std::string_view, std::string_view, std::string_view path) const override
+        {
+            return path.size() == 2 && path[1] >= 'a' && path[1] <= 'z';
+        }
+    };
+
+    SmallLetters repeats;
     asio::io_context context;
     SteadyClock clock;
     OwnTrafficDialect dialect;
@@ -92,7 +102,7 @@
         options.limits = { .headerBytes = 2048, .bodyBytes = 4096 };
         this->desk = std::make_unique<RequestDesk>(this->context, options,
             RequestDesk::Parts{
-                .dialect = &this->dialect, .clock = &this->clock, .sink = &this->sink, .metrics = &this->metrics });
+                .dialect = &this->dialect, .clock = &this->clock, .sink = &this->sink, .repeats = &this->repeats, .metrics = &this->metrics });
         CHECK(!this->desk->start());
     }
 
@@ -118,6 +128,47 @@
         return socket;
     }
 
+    /** A request for each letter of the paths. */
+    static std::string requestsTo(std::string_view paths)
+    {
+        std::string bytes;
+        for (const char path : paths)
+            bytes += std::string("GET /") + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        return bytes;
+    }
+
+    /** The letters of those that reached the decisions. */
+    std::string begun() const
+    {
+        std::string letters;
+        for (const RequestArrived& item : this->sink.arrived)
+            letters += item.path.back();
+        return letters;
+    }
+
+    void pass(Milliseconds span)
+    {
+        this->context.restart();
+        this->context.run_for(std::chrono::milliseconds(static_cast<int>(span.count)));
+    }
+
+    void refuse(std::size_t arrival) const
+    {
+        this->desk->execute(RefuseRequest{ .request = this->sink.arrived.at(arrival).request,
+            .outcome = RefusedOutcome::NotRun,
+            .reason = RefusalReason::NoBackendServer,
+            .comeBackAfter = { 250 } });
+    }
+
+    static std::string readFrom(asio::ip::tcp::socket & socket)
+    {
+        std::array<char, 16384> buffer{};
+        socket.non_blocking(true);
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        return { buffer.data(), size };
+    }
+
     /** What comes within a moment. */
     std::string answersTo(const std::string& bytes)
     {
@@ -159,11 +210,124 @@
     CHECK(!this->answersTo("GET /a HTTP/1.1\r\nHost: x\r\n\r\n").empty());
 }
 
-TEST(RequestDesk, TakesTheNextRequestOnlyAfterTheAnswer)
+// Sent one behind the other on one connection; which of them reach the decisions while nothing is answered.
+TEST(RequestDesk, BeginsEarlyOnlyWhatMayBeRepeated)
+{
+    struct Sent {
+        const char* name;
+        const char* paths; // a letter a request; small ones may be repeated
+        const char* begun;
+    };
+    const std::vector<Sent> table{
+        { "repeatable ones go side by side", "abc", "abc" },
+        { "a run-once request waits for those ahead of it", "aXb", "a" },
+        { "a run-once request alone begins", "X", "X" },
+        { "a repeatable one need not wait for a run-once request", "Xab", "Xab" },
+        { "two run-once requests", "XY", "X" },
+        { "a bounded number", "abcdefghij", "abcdefgh" },
+    };
+    this->configure();
+    for (const Sent& item : table) {
+        this->sink.arrived.clear();
+        this->answersTo(this->requestsTo(item.paths));
+        STRCMP_EQUAL_TEXT(item.begun, this->begun().c_str(), item.name);
+    }
+}
+
+TEST(RequestDesk, WhatWasHeldBackBeginsAfterTheAnswersAheadOfIt)
+{
+    this->configure();
+    asio::ip::tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(this->requestsTo("abX")));
+    this->pass({ 40 });
+    STRCMP_EQUAL("ab", this->begun().c_str());
+    this->refuse(1);
+    this->pass({ 40 });
+    STRCMP_EQUAL_TEXT("ab", this->begun().c_str(), "the first is still unanswered");
+    this->refuse(0);
+    this->pass({ 40 });
+    STRCMP_EQUAL("abX", this->begun().c_str());
+}
+
+TEST(RequestDesk, ACallerThatLeavesCancelsAllItsRequests)
+{
+    this->configure();
+    {
+        asio::ip::tcp::socket socket = this->connect();
+        asio::write(socket, asio::buffer(this->requestsTo("abc")));
+        this->pass({ 40 });
+        LONGS_EQUAL(3, this->desk->openRequests());
+    }
+    this->pass({ 40 });
+    LONGS_EQUAL(3, this->sink.gone);
+    LONGS_EQUAL(0, this->desk->openRequests());
+}
+
+// The rest counts as unread for the caller, so nothing of it may have begun.
+TEST(RequestDesk, APlannedStopAnswersWhatHasBegunAndReadsNothingBehindIt)
+{
+    this->configure();
+    asio::ip::tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(this->requestsTo("abX")));
+    this->pass({ 40 });
+    this->desk->sessions().closeAfterAnswers();
+    asio::write(socket, asio::buffer(this->requestsTo("c")));
+    this->pass({ 40 });
+    this->refuse(0);
+    this->refuse(1);
+    this->pass({ 40 });
+    STRCMP_EQUAL("ab", this->begun().c_str());
+    const std::string answers = this->readFrom(socket);
+    const std::size_t first = answers.find("HTTP/1.1 503");
+    const std::size_t second = answers.find("HTTP/1.1 503", first + 1);
+    CHECK(second != std::string::npos);
+    CHECK_TEXT(answers.find("Connection: close") > second, "only the last answer closes");
+    LONGS_EQUAL(0, this->desk->sessions().unfinished());
+}
+
+TEST(RequestDesk, AnUnreadableRequestIsAnsweredBehindThoseAheadOfIt)
 {
     this->configure();
-    this->answersTo("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
-    LONGS_EQUAL(1, this->sink.arrived.size());
+    asio::ip::tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(this->requestsTo("a") + "no request\r\n\r\n" + this->requestsTo("b")));
+    this->pass({ 40 });
+    STRCMP_EQUAL("a", this->begun().c_str());
+    STRCMP_EQUAL("", this->readFrom(socket).c_str());
+    this->refuse(0);
+    this->pass({ 40 });
+    const std::string answers = this->readFrom(socket);
+    CHECK(answers.find("HTTP/1.1 503") < answers.find("HTTP/1.1 400"));
+    CHECK(answers.find("HTTP/1.1 400") != std::string::npos);
+}
+
+// Another connection may be half read meanwhile: an interim answer would be taken for that of the first request.
+TEST(RequestDesk, NoInterimAnswerBeforeTheAnswersAhead)
+{
+    this->configure();
+    asio::ip::tcp::socket socket = this->connect();
+    const std::string expecting = "POST /Y HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+    asio::write(socket, asio::buffer(this->requestsTo("a") + expecting));
+    this->pass({ 40 });
+    STRCMP_EQUAL("", this->readFrom(socket).c_str());
+    this->refuse(0);
+    this->pass({ 40 });
+    const std::string answers = this->readFrom(socket);
+    CHECK(answers.find("HTTP/1.1 503") < answers.find("HTTP/1.1 100"));
+    CHECK(answers.find("HTTP/1.1 100") != std::string::npos);
+}
+
+// What a caller says of its time counts from when its request was read.
+TEST(RequestDesk, TheTimeThatARequestWasHeldBackIsTakenOffItsTimeLeft)
+{
+    this->configure();
+    asio::ip::tcp::socket socket = this->connect();
+    const std::string hurried = "GET /X HTTP/1.1\r\nHost: x\r\nBurlreach-Deadline-Milliseconds: 1000\r\n\r\n";
+    asio::write(socket, asio::buffer(this->requestsTo("a") + hurried));
+    this->pass({ 80 });
+    this->refuse(0);
+    this->pass({ 40 });
+    LONGS_EQUAL(2, this->sink.arrived.size());
+    CHECK(*this->sink.arrived.back().timeLeft <= Milliseconds{ 960 });
 }
 
 TEST(RequestDesk, NoticesACallerThatLeaves)
