--- a/Tests/Http/AnswerOrderTest.cpp
+++ b/Tests/Http/AnswerOrderTest.cpp
@@ -12,7 +12,8 @@
 
 /** Something that happens to the answers of a connection. */
 struct Step {
-    char what; // b: a request begins, c: one after which the caller wants to close, p: its answer comes, e: as p, the connection is to end
+    char what; // b: a request begins, c: one after which the caller wants to close, p: its answer comes, e: as p, the
+               // connection is to end
     HttpRequestNumber request;
 };
 
--- a/Tests/Traffic/RequestDeskTest.cpp
+++ b/Tests/Traffic/RequestDeskTest.cpp
@@ -101,8 +101,11 @@
         options.address = { .host = "127.0.0.1", .port = this->port };
         options.limits = { .headerBytes = 2048, .bodyBytes = 4096 };
         this->desk = std::make_unique<RequestDesk>(this->context, options,
-            RequestDesk::Parts{
-                .dialect = &this->dialect, .clock = &this->clock, .sink = &this->sink, .repeats = &this->repeats, .metrics = &this->metrics });
+            RequestDesk::Parts{ .dialect = &this->dialect,
+                .clock = &this->clock,
+                .sink = &this->sink,
+                .repeats = &this->repeats,
+                .metrics = &this->metrics });
         CHECK(!this->desk->start());
     }
 
