Measure crowded servers, rushes and outages with callers that come back

The benchmark's servers did not slow down while a request ran, nor when they were nearly full, and nobody came back after a refusal; so it did not show what binds under load. Four cases are new: a rush, an outage of all instances, lost servers and overload, each with 17 instances, servers of six slots that answer fewer requests with all slots taken than with four, work of several slow spells, and callers that come back twice. Times count from the first try.

The rush ends after three seconds and its state does not: with 0.7 of what the servers could do asked for, every server stays at five of six requests.

--- a/Benchmarks/Bench.cc
+++ b/Benchmarks/Bench.cc
@@ -50,6 +50,7 @@
     double inTime = 0;
     double arrivals = 0;
     double probes = 0;
+    double worst = 0;
     const auto count = static_cast<double>(runs.size());
     for (const RunFigures* run : runs) {
         pooled.insert(pooled.end(), run->milliseconds.begin(), run->milliseconds.end());
@@ -57,22 +58,27 @@
         inTime += static_cast<double>(run->inTime);
         arrivals += run->arrivalsPerRequest / count;
         probes += run->probesPerRequest / count;
+        worst += run->worstInTime / count;
     }
     return {
         { "p50", rounded(quantile(pooled, 0.5)) },
         { "p99", rounded(quantile(pooled, 0.99)) },
         { "share_in_time", rounded(inTime / std::max(sent, 1.0)) },
+        { "share_in_time_of_worst_two_seconds", rounded(worst) },
         { "share_answered", rounded(static_cast<double>(pooled.size()) / std::max(sent, 1.0)) },
         { "arrivals_per_request", rounded(arrivals) },
         { "probes_per_request", rounded(probes) },
     };
 }
 
-json policyFigures()
+/** Of the cases whose names hold this text. */
+json policyFigures(const std::string& part)
 {
     const std::vector<Contender> all = contenders();
     std::vector<Job> jobs;
     for (std::size_t disturbance = 0; disturbance < CaseCount; ++disturbance) {
+        if (nameOf(static_cast<Disturbance>(disturbance)).find(part) == std::string_view::npos)
+            continue;
         for (std::size_t contender = 0; contender < all.size(); ++contender) {
             for (std::size_t seed = 0; seed < Seeds; ++seed)
                 jobs.push_back({ .disturbance = static_cast<Disturbance>(disturbance),
@@ -140,8 +146,11 @@
     CLI::App program("Benchmarks in virtual time");
     std::string bounds;
     program.add_option("--check", bounds, "Compare with the bounds in this file");
+    std::string part;
+    program.add_option("--case", part, "Only the policy cases whose names hold this, without the fleet's slopes");
     CLI11_PARSE(program, argc, argv);
-    const json figures{ { "policy", policyFigures() }, { "fleet", fleetFigures() } };
+    const json figures = part.empty() ? json{ { "policy", policyFigures(part) }, { "fleet", fleetFigures() } }
+                                      : json{ { "policy", policyFigures(part) } };
     std::cout << figures.dump(1) << '\n';
     return bounds.empty() ? 0 : check(figures, bounds);
 }
--- a/Benchmarks/PolicyRun.cpp
+++ b/Benchmarks/PolicyRun.cpp
@@ -1,27 +1,27 @@
 #include "Benchmarks/PolicyRun.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <string>
 
 namespace burlreach {
 
 namespace {
 
-constexpr std::size_t Instances = 6;
 constexpr std::size_t Servers = 10;
-constexpr double Slots = 3;
-constexpr Milliseconds Work{ 60 };
-constexpr double Capacity = Servers * Slots * 1000 / 60;
-constexpr double UsualShare = 0.3;
 constexpr double OverloadShare = 1.5;
-constexpr Milliseconds Target{ 200 };
-constexpr Milliseconds TimeLeft{ 1000 };
+constexpr double HalfLoad = 0.5;
 constexpr Milliseconds WarmUp{ 2000 };
 constexpr Milliseconds Measured{ 6000 };
 constexpr Milliseconds NoiseInterval{ 150 };
 constexpr double NoiseShare = 0.25;
 constexpr double NoiseFactor = 5;
-constexpr double RushFactor = 3;
+constexpr double WorkSpread = 0.5;
+/** Nothing is served while all instances are gone; a caller that is cut off tries again after this. */
+constexpr Milliseconds Outage{ 1500 };
+constexpr Milliseconds CutCallerWaits{ 1000 };
+constexpr Milliseconds WorstWindow{ 2000 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Disturbance::Count)> Names{
     "steady",
@@ -33,12 +33,66 @@
     "data-centre-lost",
     "morning-rush",
     "overload",
+    "crowded-rush",
+    "crowded-outage",
+    "crowded-loss",
+    "crowded-overload",
 };
 
-VirtualFleet::Options fleetOptions(const Contender& contender, std::uint64_t seed)
+/** Work of several noisy spells; a full server answers fewer requests than one with a slot or two free. */
+constexpr PolicyScene Crowded{ .instances = 17,
+    .slots = 6,
+    .work = { 220 },
+    .kneeUse = 0.8,
+    .kneeFactor = 1.7,
+    .load = 0.7,
+    .rush = 1.8,
+    .rushSpan = { 3000 },
+    .target = { 600 },
+    .timeLeft = { 4000 },
+    .returns = 2,
+    .isNoisy = true,
+    .isCrowded = true };
+
+PolicyScene sceneOf(Disturbance disturbance)
+{
+    PolicyScene scene;
+    switch (disturbance) {
+    case Disturbance::NoisyNeighbours:
+        scene.isNoisy = true;
+        return scene;
+    case Disturbance::Overload:
+        scene.load = OverloadShare;
+        return scene;
+    case Disturbance::CrowdedOverload:
+        scene = Crowded;
+        scene.load = OverloadShare;
+        return scene;
+    case Disturbance::CrowdedLoss:
+        scene = Crowded;
+        scene.load = HalfLoad;
+        return scene;
+    case Disturbance::CrowdedRush:
+    case Disturbance::CrowdedOutage:
+        return Crowded;
+    default:
+        return scene;
+    }
+}
+
+/** Requests a second that the servers can do, with as many slots taken as is best. */
+double capacityOf(const PolicyScene& scene)
+{
+    const double noise = scene.isCrowded ? 1 - NoiseShare + NoiseShare / NoiseFactor : 1;
+    const double below = std::floor(static_cast<double>(scene.slots) * scene.kneeUse);
+    const double best = std::max(below, static_cast<double>(scene.slots) / scene.kneeFactor);
+    return Servers * best * noise * (Second / scene.work);
+}
+
+VirtualFleet::Options fleetOptions(const PolicyScene& scene, const Contender& contender, std::uint64_t seed)
 {
     VirtualFleet::Options options;
-    options.instances = Instances;
+    options.instances = scene.instances;
     options.seed = seed;
     options.policies = contender.policies;
     options.requests = contender.requests;
@@ -54,12 +108,20 @@
 
 PolicyRun::PolicyRun(Disturbance givenDisturbance, const Contender& contender, std::uint64_t seed)
     : disturbance(givenDisturbance)
+    , scene(sceneOf(givenDisturbance))
     , random(seed)
-    , fleet(fleetOptions(contender, seed))
-    , requestsPerSecond(Capacity * (givenDisturbance == Disturbance::Overload ? OverloadShare : UsualShare))
+    , fleet(fleetOptions(this->scene, contender, seed))
+    , requestsPerSecond(capacityOf(this->scene) * this->scene.load)
 {
     for (std::size_t server = 0; server < Servers; ++server)
-        this->fleet.addServer({ .id = "s" + std::to_string(server), .work = Work, .workSpread = 0.5 });
+        this->fleet.addServer({ .id = "s" + std::to_string(server),
+            .slots = this->scene.slots,
+            .work = this->scene.work,
+            .workSpread = WorkSpread,
+            .changesSpeedAtWork = this->scene.isCrowded,
+            .kneeUse = this->scene.kneeUse,
+            .kneeFactor = this->scene.kneeFactor });
+    this->fleet.whenCallerEnds([this](const VirtualCaller& caller) { this->callerEnded(caller); });
 }
 
 void PolicyRun::changeNoise()
@@ -71,11 +133,60 @@
 
 void PolicyRun::arrive()
 {
-    this->fleet.send(this->turn++ % Instances, "bookings.example", "GET", "/search", TimeLeft);
+    this->wishes.push_back({ .firstSentAt = this->fleet.now() });
+    this->attempt(this->wishes.size() - 1);
     const Milliseconds gap{ this->random.exponential(1000 / this->requestsPerSecond) };
     this->fleet.clock().after(gap, [this] { this->arrive(); });
 }
 
+void PolicyRun::attempt(std::size_t number)
+{
+    Wish& wish = this->wishes[number];
+    const Milliseconds timeLeft = wish.firstSentAt + this->scene.timeLeft - this->fleet.now();
+    if (timeLeft <= Milliseconds{})
+        return;
+    ++wish.tries;
+    const std::size_t instance = this->turn++ % this->scene.instances;
+    if (!this->fleet.isAlive(instance))
+        return this->fleet.clock().after(CutCallerWaits, [this, number] { this->attempt(number); });
+    const std::uint64_t caller = this->fleet.send(instance, "bookings.example", "GET", "/search", timeLeft);
+    this->wishOfCaller[caller] = number;
+    // It may have had its answer at once.
+    if (this->fleet.callers().at(caller).outcome != CallerOutcome::Waiting)
+        this->callerEnded(this->fleet.callers().at(caller));
+}
+
+void PolicyRun::callerEnded(const VirtualCaller& caller)
+{
+    const auto found = this->wishOfCaller.find(caller.number);
+    if (found == this->wishOfCaller.end())
+        return;
+    const std::size_t number = found->second;
+    this->wishOfCaller.erase(found);
+    if (caller.outcome == CallerOutcome::Answered) {
+        this->wishes[number].answeredAt = this->fleet.now();
+        return;
+    }
+    if (this->wishes[number].tries > this->scene.returns)
+        return;
+    const bool isTold = caller.outcome == CallerOutcome::NotRun || caller.outcome == CallerOutcome::Unknown;
+    const Milliseconds pause = isTold ? caller.comeBackAfter : CutCallerWaits;
+    this->fleet.clock().after(pause, [this, number] { this->attempt(number); });
+}
+
+void PolicyRun::rush()
+{
+    this->requestsPerSecond *= this->scene.rush;
+    this->fleet.clock().after(this->scene.rushSpan, [this] { this->requestsPerSecond /= this->scene.rush; });
+}
+
+void PolicyRun::loseAllInstances()
+{
+    for (std::size_t instance = 0; instance < this->scene.instances; ++instance)
+        this->fleet.kill(instance);
+    this->fleet.clock().after(Outage, [this] { this->fleet.startAll(); });
+}
+
 void PolicyRun::disturb()
 {
     VirtualBackendServer& struck = this->fleet.server("s3");
@@ -89,15 +200,17 @@
         return struck.setFrozenReport(true);
     case Disturbance::Drain:
         return this->drainTwo();
+    case Disturbance::CrowdedLoss:
     case Disturbance::DataCentreLost:
         // Servers are spread over three data centres in the order of their names.
         for (const char* id : { "s0", "s3", "s6", "s9" })
             this->fleet.server(id).setFault(ServerFault::Dark);
         return;
     case Disturbance::MorningRush:
-        this->requestsPerSecond *= RushFactor;
-        this->fleet.clock().after(Second, [this] { this->requestsPerSecond /= RushFactor; });
-        return;
+    case Disturbance::CrowdedRush:
+        return this->rush();
+    case Disturbance::CrowdedOutage:
+        return this->loseAllInstances();
     default:
         return;
     }
@@ -115,11 +228,11 @@
 {
     v1::Configuration configuration = virtualConfiguration(this->fleet.serverIds(), revision);
     v1::Service* service = configuration.mutable_services(0);
-    service->mutable_limits()->set_deadline_milliseconds(static_cast<std::uint32_t>(TimeLeft.count));
+    service->mutable_limits()->set_deadline_milliseconds(static_cast<std::uint32_t>(this->scene.timeLeft.count));
     v1::RequestRule* rule = service->add_rules();
     rule->set_path_prefix("/");
     rule->set_repeat(v1::MAY_REPEAT);
-    rule->set_target_milliseconds(static_cast<std::uint32_t>(Target.count));
+    rule->set_target_milliseconds(static_cast<std::uint32_t>(this->scene.target.count));
     return configuration;
 }
 
@@ -128,7 +241,7 @@
     this->fleet.configure(this->configuration(1));
     this->fleet.startAll();
     this->fleet.run(WarmUp * 0.5);
-    if (this->disturbance == Disturbance::NoisyNeighbours)
+    if (this->scene.isNoisy)
         this->changeNoise();
     this->arrive();
     this->fleet.run(WarmUp * 0.5);
@@ -139,18 +252,30 @@
 
 RunFigures PolicyRun::figures() const
 {
+    /** Callers whose first tries fell into two seconds. */
+    struct Window {
+        double sent = 0;
+        double inTime = 0;
+    };
     RunFigures figures;
-    const Milliseconds end = this->fleet.now() - TimeLeft;
-    for (const auto& [number, caller] : this->fleet.callers()) {
-        if (caller.sentAt < WarmUp || caller.sentAt > end)
+    std::map<int, Window> windows;
+    const Milliseconds end = this->fleet.now() - this->scene.target;
+    for (const Wish& wish : this->wishes) {
+        if (wish.firstSentAt < WarmUp || wish.firstSentAt > end)
             continue;
+        Window& window = windows[static_cast<int>(wish.firstSentAt / WorstWindow)];
         ++figures.sent;
-        if (caller.outcome != CallerOutcome::Answered)
+        window.sent += 1;
+        if (wish.answeredAt == Never)
             continue;
-        const Milliseconds took = caller.endedAt - caller.sentAt;
+        const Milliseconds took = wish.answeredAt - wish.firstSentAt;
+        const bool isInTime = took <= this->scene.target;
         figures.milliseconds.push_back(took.count);
-        figures.inTime += took <= Target ? 1 : 0;
+        figures.inTime += isInTime ? 1 : 0;
+        window.inTime += isInTime ? 1 : 0;
     }
+    for (const auto& [number, window] : windows)
+        figures.worstInTime = std::min(figures.worstInTime, window.inTime / window.sent);
     const auto requests = static_cast<double>(this->fleet.callers().size());
     figures.arrivalsPerRequest = static_cast<double>(this->fleet.sentAttempts().size()) / requests;
     figures.probesPerRequest = static_cast<double>(this->fleet.probes()) / requests;
--- a/Tests/Virtual/VirtualBackendServer.cpp
+++ b/Tests/Virtual/VirtualBackendServer.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace burlreach {
 
 namespace {
 
 constexpr double SlowFactor = 10;
+/** Work of less than this is done; sums of doubles leave a rest. */
+constexpr Milliseconds NoWork{ 1e-6 };
 constexpr double Percent = 100;
 constexpr int StatusOk = 200;
 constexpr int StatusFailed = 500;
@@ -25,11 +28,10 @@
 {
     if (this->reportIsFrozen)
         return { .running = 0, .waiting = 0, .slots = static_cast<std::uint32_t>(this->options.slots) };
-    const double factor = this->present == ServerFault::Slow ? SlowFactor : this->noise;
     return { .running = static_cast<std::uint32_t>(this->running.size()),
         .waiting = static_cast<std::uint32_t>(this->waiting.size()),
         .slots = static_cast<std::uint32_t>(this->options.slots),
-        .workPercent = static_cast<std::uint32_t>(factor * Percent) };
+        .workPercent = static_cast<std::uint32_t>(this->factorOfMoment() * Percent) };
 }
 
 std::optional<LoadFigures> VirtualBackendServer::probed() const
@@ -59,7 +61,7 @@
     const std::string& requestId, const std::string& expectedServer, std::uint64_t attempt, Done done)
 {
     ++this->arrivalCount;
-    const Job job{ .requestId = requestId, .attempt = attempt, .done = std::move(done) };
+    const Job job{ .requestId = requestId, .attempt = attempt, .done = std::move(done), .left = {} };
     if (this->present == ServerFault::Replaced || expectedServer != this->options.id)
         return this->tell(job, AttemptResult::OtherServer);
     const bool isFull = this->waiting.size() >= this->options.queue && this->running.size() >= this->options.slots;
@@ -73,33 +75,86 @@
     this->startNext();
 }
 
+double VirtualBackendServer::factorOfMoment() const
+{
+    return this->present == ServerFault::Slow ? SlowFactor : this->noise;
+}
+
+double VirtualBackendServer::slowdown() const
+{
+    if (!this->options.changesSpeedAtWork)
+        return 1;
+    const double use = static_cast<double>(this->running.size()) / static_cast<double>(this->options.slots);
+    const double knee = use > this->options.kneeUse ? this->options.kneeFactor : 1;
+    return knee * this->factorOfMoment();
+}
+
+void VirtualBackendServer::advance()
+{
+    const Milliseconds done = (this->time->now() - this->advancedAt) * (1 / this->slowdown());
+    for (auto& [attempt, job] : this->running)
+        job.left = job.left - done;
+    this->advancedAt = this->time->now();
+}
+
+void VirtualBackendServer::planNextEnd()
+{
+    const std::uint64_t planned = ++this->plan;
+    if (this->running.empty() || this->present == ServerFault::Hangs)
+        return;
+    Milliseconds least = Never;
+    for (const auto& [attempt, job] : this->running)
+        least = std::min(least, job.left);
+    this->time->after(std::max(Milliseconds{}, least) * this->slowdown(), [this, planned] {
+        if (planned == this->plan)
+            this->endFinished();
+    });
+}
+
+void VirtualBackendServer::endFinished()
+{
+    this->advance();
+    std::vector<Job> finished;
+    for (const auto& [attempt, job] : this->running) {
+        if (job.left <= NoWork)
+            finished.push_back(job);
+    }
+    for (const Job& job : finished)
+        this->finish(job);
+    this->startNext();
+}
+
+void VirtualBackendServer::setNoise(double factor)
+{
+    this->advance();
+    this->noise = factor;
+    this->planNextEnd();
+}
+
 void VirtualBackendServer::startNext()
 {
+    this->advance();
     while (!this->waiting.empty() && this->running.size() < this->options.slots) {
         Job job = std::move(this->waiting.front());
         this->waiting.pop_front();
         ++this->runs[job.requestId];
-        const double factor = this->present == ServerFault::Slow ? SlowFactor : this->noise;
-        const double spread = 1 + this->options.workSpread * (2 * this->random.unit() - 1);
+        job.left = this->options.work * (1 + this->options.workSpread * (2 * this->random.unit() - 1));
+        if (!this->options.changesSpeedAtWork)
+            job.left = job.left * this->factorOfMoment();
         this->running[job.attempt] = job;
-        this->time->after(this->options.work * (factor * spread), [this, job, begun = this->life] {
-            if (begun == this->life && this->running.contains(job.attempt))
-                this->finish(job);
-        });
     }
+    this->planNextEnd();
 }
 
 void VirtualBackendServer::finish(const Job& job)
 {
-    if (this->present == ServerFault::Hangs)
-        return;
     this->running.erase(job.attempt);
     this->tell(job, this->present == ServerFault::LosesAnswers ? AttemptResult::Broken : AttemptResult::Answered);
-    this->startNext();
 }
 
 void VirtualBackendServer::cancel(std::uint64_t attempt)
 {
+    this->advance();
     std::erase_if(this->waiting, [attempt](const Job& job) { return job.attempt == attempt; });
     this->running.erase(attempt);
     this->startNext();
@@ -107,17 +162,18 @@
 
 void VirtualBackendServer::setFault(ServerFault next)
 {
+    this->advance();
     const bool hung = std::exchange(this->present, next) == ServerFault::Hangs && next != ServerFault::Hangs;
     const bool losesWork
         = hung || next == ServerFault::Dead || next == ServerFault::Dark || next == ServerFault::Replaced;
     if (!losesWork)
         return this->startNext();
-    ++this->life;
     std::vector<Job> lost(this->waiting.begin(), this->waiting.end());
     for (const auto& [attempt, job] : this->running)
         lost.push_back(job);
     this->waiting.clear();
     this->running.clear();
+    this->planNextEnd();
     // A machine without power says nothing; a dead process resets its connections.
     if (next == ServerFault::Dark)
         return;
--- a/Tests/Virtual/VirtualBackendServer.h
+++ b/Tests/Virtual/VirtualBackendServer.h
@@ -32,7 +32,10 @@
     std::string requestId;
 };
 
-/** A stand-in for a backend server: slots, a short queue, load figures, a journal of what it ran. */
+/**
+ * A stand-in for a backend server: slots, a short queue, load figures, a
+ * journal of what it ran.
+ */
 class VirtualBackendServer {
 public:
     using Done = std::function<void(const ServerWord&)>;
@@ -43,6 +46,9 @@
         std::size_t queue = 6;
         Milliseconds work{ 20 };
         double workSpread = 0; // of the work of one request
+        bool changesSpeedAtWork = false; // else a request keeps the speed at which it began
+        double kneeUse = 1; // of its slots; with more taken all work there is slower
+        double kneeFactor = 1; // how many times longer work then takes
     };
 
     VirtualBackendServer(Options options, VirtualTime& time, std::uint64_t seed);
@@ -59,7 +65,7 @@
     /** Says in its answers that it is leaving. */
     void setLeaving(bool says) { this->leaving = says; }
     /** How many times longer work takes for a while, as by a noisy neighbour. */
-    void setNoise(double factor) { this->noise = factor; }
+    void setNoise(double factor);
     ServerFault fault() const { return this->present; }
     const std::string& id() const { return this->options.id; }
     const std::map<std::string, int>& journal() const { return this->runs; }
@@ -70,10 +76,18 @@
         std::string requestId;
         std::uint64_t attempt = 0;
         Done done;
+        Milliseconds left; // of its work, at the usual speed
     };
 
-    void refuse(const Job& job, AttemptResult result);
     void startNext();
+    double factorOfMoment() const;
+    /** How many times longer what is left of the work takes at the moment. */
+    double slowdown() const;
+    /** Takes off what was done since the last change of speed. */
+    void advance();
+    /** Plans the next end of a request at the present speed. */
+    void planNextEnd();
+    void endFinished();
     void finish(const Job& job);
     void tell(const Job& job, AttemptResult result);
     LoadFigures figures() const;
@@ -85,7 +99,8 @@
     double noise = 1;
     bool leaving = false;
     bool reportIsFrozen = false;
-    std::uint64_t life = 0; // grows when all work is lost
+    std::uint64_t plan = 0; // grows with each planned end; earlier ones count no more
+    Milliseconds advancedAt;
     std::size_t arrivalCount = 0;
     std::map<std::uint64_t, Job> running;
     std::deque<Job> waiting;
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -306,6 +306,8 @@
         return;
     caller.outcome = outcome;
     caller.endedAt = this->time.now();
+    if (this->callerEnded)
+        this->callerEnded(caller);
 }
 
 void VirtualFleet::execute(std::size_t instance, const SendAttempt& action)
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -51,6 +51,7 @@
 
     /** Called before and after each event and action of an instance; tests put faults there. */
     using Observer = std::function<void(std::size_t instance, std::string_view step)>;
+    using CallerEnded = std::function<void(const VirtualCaller& caller)>;
 
     explicit VirtualFleet(const Options& options);
 
@@ -91,6 +92,8 @@
     std::size_t mostMessagesOfOne() const;
     void resetMessagesOf() { this->messagesOf.assign(this->nodes.size(), 0); }
     void observe(Observer next) { this->observer = std::move(next); }
+    /** Called when a caller has its final word or none will come. */
+    void whenCallerEnds(CallerEnded next) { this->callerEnded = std::move(next); }
 
 private:
     /** An instance, or the place of one that is not running. */
@@ -151,6 +154,7 @@
     std::size_t probeCount = 0;
     std::vector<std::size_t> messagesOf; // by instance
     Observer observer;
+    CallerEnded callerEnded;
 };
 
 /** The address that the fleet gives to the backend server of this id. */
