Tell callers to come back soon where backend servers had room and refused

The budget for further attempts is a fifth of the requests and soon spent; then callers were told to come back after one to two target latencies, which is late for certain.

Change: after such a refusal 0.15 to 0.3 of the target latency, at least 100 ms. Refusals for want of room keep one to two.

--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -14,6 +14,12 @@
 constexpr Milliseconds UsualComeBack{ 1000 };
 constexpr Milliseconds ShortestComeBack{ 100 };
 constexpr Milliseconds LongestComeBack{ 3000 };
+/**
+ * Of the usual time, after backend servers that had room refused the request
+ * and the budget for further attempts is spent: another try may well succeed,
+ * and its answer can still be in time.
+ */
+constexpr double SoonComeBackShare = 0.15;
 /** While backend servers rest after refusals, the queue is looked at this often. */
 constexpr Milliseconds PumpInterval{ 10 };
 /**
@@ -372,7 +378,8 @@
     if (reason == RefusalReason::NoBackendServer)
         return UsualComeBack;
     // Callers that were refused together should not come back together.
-    const Milliseconds spread = route.targetLatency * (1 + this->parts.random->unit());
+    const double share = reason == RefusalReason::BackendServersRefused ? SoonComeBackShare : 1;
+    const Milliseconds spread = route.targetLatency * (share * (1 + this->parts.random->unit()));
     return std::clamp(spread, ShortestComeBack, LongestComeBack);
 }
 
