Let the soak's callers send searches ahead

Three sessions besides the eight send four searches at once and check that each answer is whole, their own and in their order; what stands behind an answer that closes the connection is sent again.

--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -386,8 +386,9 @@
 std::unique_ptr<ChildProcess> SoakFleet::startCallers(const std::string& name, int seconds, std::uint64_t seed) const
 {
     std::vector<std::string> command{ this->options.build + "/StandIns/CallerStandIn", "--prefix",
-        name + "-" + std::to_string(seed), "--sessions", "8", "--seconds", std::to_string(seconds), "--booking-percent",
-        "50", "--pause-milliseconds", "4", "--output", this->pathOf(name + ".json") };
+        name + "-" + std::to_string(seed), "--sessions", "8", "--pipelined-sessions", "3", "--seconds",
+        std::to_string(seconds), "--booking-percent", "50", "--pause-milliseconds", "4", "--output",
+        this->pathOf(name + ".json") };
     for (std::size_t index = 0; index < this->instances.size(); ++index) {
         command.emplace_back("--port");
         command.push_back(std::to_string(this->port(Part::CallersProxy, index)));
--- a/Tests/StandIns/CallerStandIn.cc
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -1,5 +1,8 @@
 // Stand-in for callers: sessions that send searches and bookings, check that
 // each answer is whole and their own, and print what became of them as JSON.
+// Some sessions send several searches ahead of the answers.
+
+#include "Tests/StandIns/PipelinedConnection.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -18,11 +21,15 @@
 
 using Clock = std::chrono::steady_clock;
 
+/** Searches that a pipelined session sends at once. */
+constexpr int SentAhead = 4;
+
 struct Options {
     std::vector<int> ports;
     std::string host = "bookings.example";
     std::string prefix = "caller";
     int sessions = 4;
+    int pipelinedSessions = 0; // besides, with searches only
     int requests = 100;
     int bookingPercent = 20;
     double pauseMilliseconds = 0;
@@ -63,6 +70,8 @@
         threads.reserve(static_cast<std::size_t>(this->options.sessions));
         for (int index = 0; index < this->options.sessions; ++index)
             threads.emplace_back([this, index] { this->session(index); });
+        for (int index = 0; index < this->options.pipelinedSessions; ++index)
+            threads.emplace_back([this, index] { this->pipelinedSession(index); });
         for (std::thread& thread : threads)
             thread.join();
         return this->tally;
@@ -83,6 +92,52 @@
         }
     }
 
+    void pipelinedSession(int index)
+    {
+        burlreach::PipelinedConnection connection(this->options.host);
+        auto turn = static_cast<std::size_t>(index);
+        std::vector<std::string> unanswered;
+        for (int count = 0; !this->isDone(count); ++count) {
+            while (unanswered.size() < SentAhead)
+                unanswered.push_back(this->options.prefix + "-ahead-" + std::to_string(index) + "-"
+                    + std::to_string(count) + "-" + std::to_string(unanswered.size()));
+            if (!connection.isOpen() && !connection.connect(this->portOf(turn++))) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                continue;
+            }
+            const auto answers = connection.search(unanswered);
+            this->noteSearches(unanswered, answers);
+            // What is sent behind an answer that closes the connection was not read.
+            const bool wasClosed = !answers.empty() && answers.back().closes;
+            const auto done = wasClosed ? static_cast<std::ptrdiff_t>(answers.size()) : SentAhead;
+            unanswered.erase(unanswered.begin(), unanswered.begin() + done);
+            std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(this->options.pauseMilliseconds));
+        }
+    }
+
+    void noteSearches(const std::vector<std::string>& ids, const std::vector<burlreach::PipelinedAnswer>& answers)
+    {
+        const std::lock_guard lock(this->mutex);
+        for (std::size_t place = 0; place < answers.size(); ++place) {
+            const burlreach::PipelinedAnswer& answer = answers[place];
+            const bool isGood = answer.outcome.empty() && answer.status == 200;
+            const bool isOwn = answer.body.find("\"echo\":\"" + ids[place] + "\"") != std::string::npos
+                && answer.body.back() == '\n';
+            std::string outcome = answer.outcome.empty() ? "status " + std::to_string(answer.status) : answer.outcome;
+            if (isGood)
+                outcome = isOwn ? "answered" : "not its own or not whole";
+            ++this->tally.outcomes[outcome];
+        }
+        const bool wasClosed = !answers.empty() && answers.back().closes;
+        if (answers.size() == ids.size() || wasClosed)
+            return;
+        ++this->tally.outcomes["cut: sent ahead"];
+        this->tally.cuts.push_back(ids[answers.size()] + ", sent ahead, after " + std::to_string(answers.size())
+            + " answers; at " + std::to_string(millisecondsSince({})));
+    }
+
+    int portOf(std::size_t turn) const { return this->options.ports[turn % this->options.ports.size()]; }
+
     bool isDone(int count) const
     {
         return this->options.seconds ? Clock::now() >= this->end : count >= this->options.requests;
@@ -90,8 +145,7 @@
 
     std::unique_ptr<httplib::Client> connect(std::size_t turn) const
     {
-        const int port = this->options.ports[turn % this->options.ports.size()];
-        auto client = std::make_unique<httplib::Client>("127.0.0.1", port);
+        auto client = std::make_unique<httplib::Client>("127.0.0.1", this->portOf(turn));
         client->set_keep_alive(true);
         client->set_tcp_nodelay(true);
         client->set_read_timeout(30);
@@ -137,8 +191,7 @@
     void noteCut(const Session& session, const std::string& id, bool wasOpen, double took)
     {
         const std::lock_guard lock(this->mutex);
-        this->tally.cuts.push_back(id + " at port "
-            + std::to_string(this->options.ports[session.turn % this->options.ports.size()]) + " after "
+        this->tally.cuts.push_back(id + " at port " + std::to_string(this->portOf(session.turn)) + " after "
             + std::to_string(took) + " ms; " + std::to_string(session.answers) + " answers before it, the last one "
             + std::to_string(millisecondsSince(session.lastAnswer)) + " ms ago; its connection was "
             + (wasOpen ? "open" : "new") + "; at " + std::to_string(millisecondsSince({})));
@@ -195,6 +248,7 @@
     program.add_option("--host", options.host, "Host value");
     program.add_option("--prefix", options.prefix, "Begins every request id");
     program.add_option("--sessions", options.sessions, "Sessions at once");
+    program.add_option("--pipelined-sessions", options.pipelinedSessions, "Sessions besides that send searches ahead");
     program.add_option("--requests", options.requests, "Requests in each session");
     program.add_option("--seconds", options.seconds, "Send for so long instead");
     program.add_option("--booking-percent", options.bookingPercent, "Share of bookings");
