--- a/Tests/StandIns/PipelinedConnection.cpp
+++ b/Tests/StandIns/PipelinedConnection.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <poll.h>
 #include <utility>
 
 namespace burlreach {
@@ -12,6 +13,9 @@
 
 namespace http = boost::beast::http;
 
+/** In milliseconds; the other callers give up after the same time. */
+constexpr int LongestSilence = 30000;
+
 }
 
 PipelinedConnection::PipelinedConnection(std::string givenHost)
@@ -74,6 +78,9 @@
                 continue;
         }
         asio::error_code error;
+        pollfd waited{ .fd = this->socket.native_handle(), .events = POLLIN, .revents = 0 };
+        if (poll(&waited, 1, LongestSilence) <= 0)
+            return std::nullopt;
         const std::size_t size = this->socket.read_some(asio::buffer(chunk), error);
         if (error)
             return std::nullopt;
