Put the time to come back into Admission and log what made a caller late

Why a caller is refused and when it should come back belong together: ComeBackTime, with a table of tests, instead of a part of RequestFlow; the same constant served RequestDesk by a copy. No change of behaviour but for one more random number drawn where no backend server is there.

--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -40,6 +40,7 @@
     "hedges_won",
     "ejections",
     "callers_gone",
+    "late_callers",
     "probes_sent",
     "probes_failed",
     "probes_denied",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -44,6 +44,7 @@
     HedgesWon,
     Ejections,
     CallersGone,
+    LateCallers, // could hardly be in time any more when they came
     ProbesSent,
     ProbesFailed,
     ProbesDenied, // by their budget
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include "Node/RequestFlow.h"
 
+#include "Admission/ComeBackTime.h"
 #include "Node/RequestRecords.h"
 #include "Routing/LoadAwarePolicy.h"
 
@@ -11,15 +12,6 @@
 
 namespace {
 
-constexpr Milliseconds UsualComeBack{ 1000 };
-constexpr Milliseconds ShortestComeBack{ 100 };
-constexpr Milliseconds LongestComeBack{ 3000 };
-/**
- * Of the usual time, after backend servers that had room refused the request
- * and the budget for further attempts is spent: another try may well succeed,
- * and its answer can still be in time.
- */
-constexpr double SoonComeBackShare = 0.15;
 /** While backend servers rest after refusals, the queue is looked at this often. */
 constexpr Milliseconds PumpInterval{ 10 };
 /**
@@ -112,10 +104,12 @@
     service.lateAsFresh.arrived();
     if (!event.timeLeft || !this->options.freshFirst)
         return;
-    const Milliseconds spent = service.spentBefore(*request.route, *event.timeLeft);
-    const bool isLate = isLateCaller(spent, service.expectedTime(*request.route), request.route->targetLatency);
+    request.spent = service.spentBefore(*request.route, *event.timeLeft);
+    if (!isLateCaller(request.spent, service.expectedTime(*request.route), request.route->targetLatency))
+        return;
+    this->parts.counters->add(DecisionCount::LateCallers);
     // Some go with the others: nobody waits for ever, however long the overload lasts.
-    request.isLate = isLate && !service.lateAsFresh.take();
+    request.isLate = !service.lateAsFresh.take();
 }
 
 void RequestFlow::refuseUnrouted(const RequestArrived& event, RefusalReason reason, Actions& actions) const
@@ -373,23 +367,13 @@
     this->close(request, now, actions);
 }
 
-Milliseconds RequestFlow::comeBackAfter(const Route& route, RefusalReason reason) const
-{
-    if (reason == RefusalReason::NoBackendServer)
-        return UsualComeBack;
-    // Callers that were refused together should not come back together.
-    const double share = reason == RefusalReason::BackendServersRefused ? SoonComeBackShare : 1;
-    const Milliseconds spread = route.targetLatency * (share * (1 + this->parts.random->unit()));
-    return std::clamp(spread, ShortestComeBack, LongestComeBack);
-}
-
 void RequestFlow::refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions)
 {
     const bool mayHaveRun = request.history.mayHaveRun > 0;
     const RefusedOutcome outcome = mayHaveRun ? RefusedOutcome::Unknown : RefusedOutcome::NotRun;
     this->parts.counters->add(reason);
     this->parts.counters->add(mayHaveRun ? DecisionCount::RefusedUnknown : DecisionCount::RefusedNotRun);
-    const Milliseconds comeBack = this->comeBackAfter(*request.route, reason);
+    const Milliseconds comeBack = comeBackAfter(reason, request.route->targetLatency, this->parts.random->unit());
     const RefuseRequest refusal{
         .request = request.number, .outcome = outcome, .reason = reason, .comeBackAfter = comeBack
     };
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -85,7 +85,6 @@
     void pass(RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions);
     void timedOut(RequestState& request, Milliseconds now, Actions& actions);
-    Milliseconds comeBackAfter(const Route& route, RefusalReason reason) const;
     void close(RequestState& request, Milliseconds now, Actions& actions);
     static RefusalReason whyNobodyTook(const RequestState& request);
     void tickRequest(RequestState& request, Milliseconds now, Actions& actions);
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -38,6 +38,7 @@
     AttemptHistory history;
     unsigned attempts = 0;
     bool hedged = false;
+    Milliseconds spent; // by its caller before it came here, as far as its time left tells
     bool isLate = false; // its caller can hardly be in time any more
     std::vector<Flight> flights;
     std::vector<std::shared_ptr<BackendServerState>> tried;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -1,5 +1,6 @@
 #include "Traffic/RequestDesk.h"
 
+#include "Admission/ComeBackTime.h"
 #include "Base/ChronoDuration.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned HttpVersion = 11;
-constexpr Milliseconds UsualComeBack{ 1000 };
 
 RefusalReason reasonOf(HttpRequestProblem problem)
 {
