Let the soak's programs hold none of its sockets open

Cause of the silences: the soak starts programs again while its proxies hold connections, and a started program inherited every one of them. A connection that a proxy then closed or reset stayed open in that program: its peer heard neither an answer nor the end.

Ruled out: a listen queue that overflows (a trial: the connection comes up after 1.03 s), the stand-in's 300 threads, the process that ended (it had ended 8 s after its stop began), the proxy's own reading.

Test: ChildProcess/HoldsNoSocketOfItsParentOpen fails before (4.0 s) and passes after.

--- a/Tests/Soak/ChildProcess.cpp
+++ b/Tests/Soak/ChildProcess.cpp
@@ -20,6 +20,10 @@
 [[noreturn]] void become(const std::vector<char*>& arguments, const char* log)
 {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // A proxy's connection that a child also holds stays open, and silent for its peer, after the proxy closed it.
+    constexpr unsigned first = STDERR_FILENO + 1;
+    constexpr unsigned last = ~0U;
+    close_range(first, last, CLOSE_RANGE_CLOEXEC);
     const int file = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LogMode);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
