Look at a silent request again until it may get a second attempt

Change: a look that finds nothing is followed by another one after the same patience (at least 20 ms); when one of two attempts fails, the one that is left counts as silent again. Bounded by the route's most attempts, the attempts that were proved not to have run, and the budget as before.

Test: SilentRequests, two cases: never answered before, within 1.5 s after.

--- a/Source/Attempts/AttemptRules.cpp
+++ b/Source/Attempts/AttemptRules.cpp
@@ -20,7 +20,8 @@
 
 bool mayHedge(const Route& route, const AttemptHistory& history)
 {
-    return route.repeat == Repeat::MayRepeat && history.mayHaveRun < route.mostAttempts;
+    return route.repeat == Repeat::MayRepeat && history.mayHaveRun < route.mostAttempts
+        && history.provedNotRun < MostProvedNotRun;
 }
 
 }
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -29,6 +29,8 @@
  * servers lost (Benchmarks, crowded-rush and crowded-loss).
  */
 constexpr double LimitOfHedge = 0.6;
+/** Between two looks at a silent request: a timer each is cheap, also where answers take less than a millisecond. */
+constexpr Milliseconds ShortestHedgeInterval{ 20 };
 /** A server whose work takes at most this many times as long is not compared with slower answers. */
 constexpr double GoodWorkFactor = 1.25;
 constexpr double GoodUse = 0.67;
@@ -224,10 +226,8 @@
     }
     ++request.history.mayHaveRun;
     request.phase = RequestPhase::Sending;
-    const Milliseconds patience = std::min(request.service->expectedTime(*request.route) * this->options.hedgeAfter,
-        request.route->targetLatency * this->options.latestHedge);
     const bool isHedged = this->options.hedges && !request.hedged && mayHedge(*request.route, request.history);
-    request.hedgeAt = isHedged ? now + patience : Never;
+    request.hedgeAt = isHedged ? now + this->hedgePatience(request) : Never;
     actions.emplace_back(recordOfSent(request, *server,
         { .version = this->parts.services->version(), .confirmedAt = this->parts.store->confirmedAt() }, now));
     server->sent(attempt, now);
@@ -293,9 +293,12 @@
 
 void RequestFlow::decideAfter(RequestState& request, const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
-    // A hedge may still bring a good answer.
-    if (!request.flights.empty())
+    // Another attempt may still bring a good answer; while only one is left it may be silent for good.
+    if (!request.flights.empty()) {
+        request.hedged = false;
+        request.hedgeAt = this->options.hedges ? now + this->hedgePatience(request) : Never;
         return;
+    }
     if (this->tryAgain(request, event.end, now, actions))
         return;
     switch (event.end.result) {
@@ -340,11 +343,19 @@
     return true;
 }
 
+Milliseconds RequestFlow::hedgePatience(const RequestState& request) const
+{
+    const Milliseconds usual = request.service->expectedTime(*request.route) * this->options.hedgeAfter;
+    return std::min(usual, request.route->targetLatency * this->options.latestHedge);
+}
+
 void RequestFlow::hedge(RequestState& request, Milliseconds now, Actions& actions)
 {
     request.hedgeAt = Never;
     if (!mayHedge(*request.route, request.history))
         return;
+    // Without a server or budget now it is looked at again: its answer may never come, and nothing else would tell.
+    request.hedgeAt = now + std::max(this->hedgePatience(request), ShortestHedgeInterval);
     Choice choice = request.service->pool.choose(
         { .tried = request.tried, .onlyUntried = true, .mayTry = false, .limitShare = LimitOfHedge },
         this->contextOf(request, now), *this->parts.random);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -81,6 +81,8 @@
     void decideAfter(RequestState& request, const AttemptEnded& event, Milliseconds now, Actions& actions);
     bool tryAgain(RequestState& request, const AttemptEnd& end, Milliseconds now, Actions& actions);
     bool mayPass(const RequestState& request, const AttemptEnd& end) const;
+    /** From the sending, or from the last look, to the look whether a second attempt should begin. */
+    Milliseconds hedgePatience(const RequestState& request) const;
     void hedge(RequestState& request, Milliseconds now, Actions& actions);
     void pass(RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions);
--- /dev/null
+++ b/Tests/Node/SilentRequestsTest.cpp
@@ -0,0 +1,80 @@
+#include "Tests/Virtual/VirtualFleet.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr Milliseconds Target{ 300 };
+constexpr Milliseconds Patience{ 10000 };
+/** Of the bookings that fill the sound server. */
+constexpr Milliseconds Work{ 400 };
+/** Two looks after the sound server has room again, and its work. */
+constexpr Milliseconds AnsweredWithin{ 1500 };
+
+/** What stands beside the silent server when a second attempt is first thought of. */
+struct Case {
+    const char* name;
+    std::vector<std::string> servers;
+    bool isOneDead;
+};
+
+const std::vector<Case> Cases{
+    { "the only other server is full for a moment", { "sound", "silent" }, false },
+    { "one other server is dead and one is full for a moment", { "sound", "silent", "dead" }, true },
+};
+
+v1::Configuration configurationOf(const std::vector<std::string>& servers, std::uint32_t revision)
+{
+    v1::Configuration configuration = virtualConfiguration(servers, revision);
+    v1::Service* service = configuration.mutable_services(0);
+    service->mutable_limits()->set_deadline_milliseconds(static_cast<std::uint32_t>(Patience.count));
+    v1::RequestRule* search = service->add_rules();
+    search->set_method("GET");
+    search->set_path_prefix("/");
+    search->set_repeat(v1::MAY_REPEAT);
+    search->set_target_milliseconds(static_cast<std::uint32_t>(Target.count));
+    return configuration;
+}
+
+/** A search whose first attempt is never answered, while the sound server is full of bookings. */
+VirtualCaller searchOf(const Case& item)
+{
+    VirtualFleet::Options options;
+    options.instances = 1;
+    VirtualFleet fleet(options);
+    for (const std::string& id : item.servers)
+        fleet.addServer({ .id = id, .work = Work });
+    fleet.server("silent").setFault(ServerFault::Hangs);
+    if (item.isOneDead)
+        fleet.server("dead").setFault(ServerFault::Dead);
+    fleet.configure(configurationOf({ "sound" }, 1));
+    fleet.startAll();
+    fleet.run({ 500 });
+    for (int booking = 0; booking < 3; ++booking)
+        fleet.send(0, "bookings.example", "POST", "/book", Patience);
+    fleet.run({ 20 });
+    fleet.configure(configurationOf(item.servers, 2));
+    fleet.run({ 200 });
+    const std::uint64_t search = fleet.send(0, "bookings.example", "GET", "/search", Patience);
+    fleet.run(Patience + Second);
+    return fleet.callers().at(search);
+}
+
+}
+
+TEST_GROUP(SilentRequests){};
+
+TEST(SilentRequests, AreLookedAtAgainUntilAnotherServerHasRoom)
+{
+    for (const Case& item : Cases) {
+        const VirtualCaller search = searchOf(item);
+        CHECK_TEXT(search.outcome == CallerOutcome::Answered, item.name);
+        CHECK_TEXT(search.endedAt - search.sentAt <= AnsweredWithin, item.name);
+    }
+}
