Deal the budget for figures in windows and ask the next best server

Cause: an instance's part of the budget was a bucket that began with what a second brings, and only when a server was first wanted. With 79 instances beside a server that is 0.46 of a probe: the first question was denied for more than a second, server by server, and a denied server left its place among the three that are asked empty. All instances together asked 4 times a second of the 60 that a server may be asked.

Change: the part is dealt in windows of a quarter of a second to a second, by a draw for each server and window, and a denied server gives way to the next of the 24 best. What is not used is gone, so the sum over the fleet keeps the budget in every second, also when all start or wake together.

Ruled out: a bucket that begins full (the trial of the issue): 473 instances then ask one server 3 times each in the first second.

--- a/Source/Measurement/ProbeDesk.cpp
+++ b/Source/Measurement/ProbeDesk.cpp
@@ -1,6 +1,7 @@
 #include "Measurement/ProbeDesk.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace burlreach {
@@ -10,10 +11,27 @@
 /** A fleet that is not known yet is taken to be at least this large. */
 constexpr std::size_t FewestInstances = 4;
 
+constexpr double MostWindowsPerSecond = 4;
+
+/**
+ * As many windows a second as probes of this instance's part, within bounds; a
+ * whole number of them, so that no second touches one more.
+ *
+ * With 79 instances beside 18 servers 8 of these may be asked at any moment,
+ * from the first one on; a bucket that fills from empty allows none for two
+ * seconds. What the fleet keeps back of its budget, 0.2, is for the spread of
+ * the draws and for what is held over from one short window to the next.
+ */
+Milliseconds windowFor(double perSecond)
+{
+    return Second * (1 / std::clamp(std::ceil(perSecond), 1.0, MostWindowsPerSecond));
 }
 
-ProbeDesk::ProbeDesk(Options givenOptions)
+}
+
+ProbeDesk::ProbeDesk(Options givenOptions, Random& givenRandom)
     : options(std::move(givenOptions))
+    , random(&givenRandom)
 {
 }
 
@@ -23,7 +41,7 @@
     this->dataCentres = std::max<std::size_t>(dataCentreCount, 1);
 }
 
-double ProbeDesk::perSecond(const BackendServerState& server, double share) const
+double ProbeDesk::partOf(const BackendServerState& server, double share) const
 {
     const double budget = this->options.fleetPerSecond * share;
     const auto all = static_cast<double>(std::max(this->instances, FewestInstances));
@@ -35,16 +53,20 @@
 
 bool ProbeDesk::takeAllowance(const BackendServerState& server, double share, Milliseconds now)
 {
-    const double rate = this->perSecond(server, share);
+    const double part = this->partOf(server, share);
+    if (part <= 0)
+        return false;
     Allowance& allowance = this->allowances[server.id()];
-    if (allowance.filledAt == LongAgo)
-        allowance = { .tokens = std::min(1.0, rate), .filledAt = now };
-    const double earned = rate * std::max(0.0, (now - allowance.filledAt) / Second);
-    allowance.tokens = std::min(this->options.burst, allowance.tokens + earned);
-    allowance.filledAt = now;
-    if (allowance.tokens < 1)
+    if (now >= allowance.until) {
+        const Milliseconds window = windowFor(part);
+        const double dealt = part * (window / Second);
+        const double whole = std::floor(dealt);
+        const bool hasOneMore = this->random->unit() < dealt - whole;
+        allowance = { .left = static_cast<unsigned>(whole) + (hasOneMore ? 1 : 0), .until = now + window };
+    }
+    if (!allowance.left)
         return false;
-    allowance.tokens -= 1;
+    --allowance.left;
     return true;
 }
 
--- a/Source/Measurement/ProbeDesk.h
+++ b/Source/Measurement/ProbeDesk.h
@@ -2,6 +2,7 @@
 
 #include "Base/Milliseconds.h"
 #include "Base/NetworkAddress.h"
+#include "Base/Random.h"
 #include "Routing/BackendServerState.h"
 
 #include <cstddef>
@@ -38,8 +39,15 @@
  * The budget is a number of probes a second for each backend server that the
  * whole fleet keeps: each instance takes its part of it, so a larger fleet
  * does not probe more. Most of it belongs to the instances in the server's own
- * data centre, which send it most of its requests. A server is never asked twice at the same time; who
- * needs its answer waits for the one that is under way.
+ * data centre, which send it most of its requests. A server is never asked
+ * twice at the same time; who needs its answer waits for the one that is under
+ * way.
+ *
+ * An instance's part may be far less than a probe a second. It is dealt in
+ * windows: for each server and window a draw says how many probes may be sent,
+ * and what is not used is gone. So a part of the servers can be asked at any
+ * moment, from the first one on, and instances that start or wake together do
+ * not spend at once what each of them saved up.
  */
 class ProbeDesk {
 public:
@@ -48,11 +56,10 @@
         double fleetPerSecond = 30; // of one backend server, all instances together
         std::string dataCentre; // of this instance
         double nearShare = 0.6; // of the fleet's budget, for the instances in the server's own data centre
-        double farShare = 0.2; // for all others; the rest covers members that are not known yet
-        double burst = 3;
+        double farShare = 0.2; // for all others; see windowFor() for the rest
     };
 
-    explicit ProbeDesk(Options options);
+    ProbeDesk(Options options, Random& random);
 
     /** The fleet as far as it is known; its instances are taken to be spread evenly. */
     void setFleet(std::size_t instances, std::size_t dataCentres);
@@ -66,15 +73,18 @@
     void forget(const std::string& backendServer) { this->allowances.erase(backendServer); }
 
 private:
+    /** What may still be asked of a server within the present window. */
     struct Allowance {
-        double tokens = 0;
-        Milliseconds filledAt = LongAgo;
+        unsigned left = 0;
+        Milliseconds until = LongAgo;
     };
 
-    double perSecond(const BackendServerState& server, double share) const;
+    /** This instance's part of the budget for the server, in probes a second. */
+    double partOf(const BackendServerState& server, double share) const;
     bool takeAllowance(const BackendServerState& server, double share, Milliseconds now);
 
     Options options;
+    Random* random;
     std::size_t instances = 1;
     std::size_t dataCentres = 1;
     ProbeNumber last = 0;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -90,7 +90,7 @@
               .signs = &this->signs,
               .random = &this->random,
               .counters = &this->decisionCounters })
-    , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre })
+    , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre }, this->random)
     , flow(flowOf(givenOptions),
           { .services = &this->services,
               .probes = &this->probes,
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -140,27 +140,41 @@
 
 void RequestFlow::askForFigures(RequestState& request, Milliseconds now, Actions& actions)
 {
-    const ServiceState& service = *request.service;
-    const auto worth = service.pool.worthProbing(
-        this->options.probedServers, this->options.figuresFreshFor, this->contextOf(request, now), *this->parts.random);
-    for (const auto& server : worth) {
-        auto probe
-            = this->parts.probes->start(server, service.description.probePath, service.description.probeShare, now);
-        if (probe) {
-            this->parts.counters->add(DecisionCount::ProbesSent);
-            actions.emplace_back(SendProbe{ .probe = std::move(*probe) });
-        } else if (!this->parts.probes->isUnderWay(server->id())) {
-            this->parts.counters->add(DecisionCount::ProbesDenied);
-            continue;
-        }
-        request.asked.push_back(server->id());
+    const ServicePool& pool = request.service->pool;
+    const auto candidates
+        = pool.worthKnowing(this->options.probedAmong, this->contextOf(request, now), *this->parts.random);
+    unsigned known = 0;
+    for (const auto& server : candidates) {
+        if (known == this->options.probedServers)
+            break;
+        const bool isFresh = now - server->report().at <= this->options.figuresFreshFor;
+        if (isFresh || this->askForFiguresOf(server, request, now, actions))
+            ++known;
     }
+    if (const auto leaving = pool.leavingOfLongAgo(now))
+        this->askForFiguresOf(leaving, request, now, actions);
     if (request.asked.empty())
         return;
     request.phase = RequestPhase::Asking;
     request.askUntil = now + this->options.longestAsking;
 }
 
+bool RequestFlow::askForFiguresOf(
+    const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions)
+{
+    const ServiceDescription& service = request.service->description;
+    auto probe = this->parts.probes->start(server, service.probePath, service.probeShare, now);
+    if (probe) {
+        this->parts.counters->add(DecisionCount::ProbesSent);
+        actions.emplace_back(SendProbe{ .probe = std::move(*probe) });
+    } else if (!this->parts.probes->isUnderWay(server->id())) {
+        this->parts.counters->add(DecisionCount::ProbesDenied);
+        return false;
+    }
+    request.asked.push_back(server->id());
+    return true;
+}
+
 bool RequestFlow::isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const
 {
     const PoolLoad pool = poolLoadOf({});
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -115,8 +115,8 @@
     return { .server = this->find(chosen->id()), .reason = NoChoice::Full };
 }
 
-std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthProbing(
-    std::size_t most, Milliseconds freshFor, const RoutingContext& context, Random& random) const
+std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthKnowing(
+    std::size_t most, const RoutingContext& context, Random& random) const
 {
     std::vector<BackendServerState*> takers = this->filter({}, false, context.now);
     const PoolLoad pool = poolLoadOf(takers);
@@ -125,15 +125,13 @@
     ranked.reserve(takers.size());
     for (const BackendServerState* server : takers)
         ranked.emplace_back(LoadAwarePolicy::score(*server, pool, context) * (1 + jitter * random.unit()), server);
-    std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::min(ranked.size(), most));
+    const auto count = static_cast<std::ptrdiff_t>(std::min(ranked.size(), most));
+    std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end());
+    ranked.resize(static_cast<std::size_t>(count));
     std::vector<std::shared_ptr<BackendServerState>> found;
-    for (const auto& [score, server] : ranked) {
-        if (context.now - server->report().at > freshFor)
-            found.push_back(this->find(server->id()));
-    }
-    if (auto leaving = this->leavingOfLongAgo(context.now))
-        found.push_back(std::move(leaving));
+    found.reserve(ranked.size());
+    for (const auto& [score, server] : ranked)
+        found.push_back(this->find(server->id()));
     return found;
 }
 
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -49,9 +49,11 @@
     void setConnectionShare(std::size_t share);
 
     Choice choose(const ChoiceWish& wish, const RoutingContext& context, Random& random);
-    /** Those worth asking for their load before a choice, the best by what is known first. */
-    std::vector<std::shared_ptr<BackendServerState>> worthProbing(
-        std::size_t most, Milliseconds freshFor, const RoutingContext& context, Random& random) const;
+    /** Those whose load is worth knowing before a choice, the best by what is known first. */
+    std::vector<std::shared_ptr<BackendServerState>> worthKnowing(
+        std::size_t most, const RoutingContext& context, Random& random) const;
+    /** Only its own word keeps requests from it, and that is old: it may have stayed. Null when there is none. */
+    std::shared_ptr<BackendServerState> leavingOfLongAgo(Milliseconds now) const;
     /** An attempt at one of its backend servers has ended. */
     void learn(const EndedFlight& flight);
     const CrowdingEstimate& crowding() const { return this->crowdingEstimate; }
@@ -64,8 +66,6 @@
     double slots() const;
 
 private:
-    /** Only its own word keeps requests from it, and that is old: it may have stayed. */
-    std::shared_ptr<BackendServerState> leavingOfLongAgo(Milliseconds now) const;
     /** Nothing is under way at any server, and none was heard lately. */
     bool isSilent(Milliseconds now) const;
     bool hasRoom(const BackendServerState& server, double requests, const ChoiceWish& wish, Milliseconds now) const;
--- a/Tests/Measurement/ProbeDeskTest.cpp
+++ b/Tests/Measurement/ProbeDeskTest.cpp
@@ -1,6 +1,8 @@
 #include "Measurement/ProbeDesk.h"
 
+#include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 // Redefines operator new: after all other headers.
@@ -19,21 +21,83 @@
 }
 
 struct Case {
+    const char* name;
     std::size_t instances;
     std::size_t dataCentres; // over which they are spread
     double perSecond;
     double share;
 };
 
-const std::vector<Case> Cases{ { 3, 1, 60, 1 }, { 3, 3, 60, 1 }, { 18, 4, 60, 1 }, { 18, 1, 60, 1 }, { 142, 4, 60, 1 },
-    { 18, 4, 60, 0.1 }, { 18, 4, 0, 1 } };
+const std::vector<Case> Cases{ { "three", 3, 1, 60, 1 }, { "three apart", 3, 3, 60, 1 }, { "eighteen", 18, 4, 60, 1 },
+    { "eighteen in one place", 18, 1, 60, 1 }, { "a hundred", 99, 3, 60, 1 }, { "more", 142, 4, 60, 1 },
+    { "hundreds", 473, 6, 60, 1 }, { "hundreds, little allowed", 473, 6, 60, 0.3 },
+    { "little allowed", 18, 4, 60, 0.1 }, { "nothing allowed", 18, 4, 0, 1 } };
+
+constexpr int SpanMilliseconds = 5000;
+constexpr int SecondMilliseconds = 1000;
+
+/** The desks of a whole fleet that wants to ask one server, in dc-0. */
+class AskingFleet {
+public:
+    explicit AskingFleet(const Case& item)
+        : share(item.share)
+    {
+        for (std::size_t instance = 0; instance < item.instances; ++instance) {
+            this->randoms.push_back(std::make_unique<Random>(instance));
+            const std::string dataCentre = "dc-" + std::to_string(instance % item.dataCentres);
+            this->desks.push_back(std::make_unique<ProbeDesk>(
+                ProbeDesk::Options{ .fleetPerSecond = item.perSecond, .dataCentre = dataCentre },
+                *this->randoms.back()));
+            this->desks.back()->setFleet(item.instances, item.dataCentres);
+        }
+    }
+
+    /** How many ask at this moment. */
+    int askAt(Milliseconds now)
+    {
+        int asking = 0;
+        for (const auto& desk : this->desks) {
+            const auto probe = desk->start(this->asked, "/load", this->share, now);
+            if (!probe)
+                continue;
+            ++asking;
+            desk->ended(probe->number);
+        }
+        return asking;
+    }
+
+private:
+    double share;
+    std::shared_ptr<BackendServerState> asked = server("s1", "dc-0");
+    std::vector<std::unique_ptr<Random>> randoms;
+    std::vector<std::unique_ptr<ProbeDesk>> desks;
+};
+
+/** The most probes within any second when all want to ask in every so many milliseconds. */
+int mostInAnySecond(const Case& item, int every)
+{
+    AskingFleet fleet(item);
+    std::vector<int> at(SpanMilliseconds, 0);
+    int within = 0;
+    int most = 0;
+    for (int now = 0; now < SpanMilliseconds; ++now) {
+        if (now % every == 0)
+            at[now] = fleet.askAt({ static_cast<double>(now) });
+        within += at[now];
+        if (now >= SecondMilliseconds)
+            within -= at[now - SecondMilliseconds];
+        most = std::max(most, within);
+    }
+    return most;
+}
 
 /** Probes that an instance in this data centre sends in 20 s when it asks at every moment. */
 int probesFrom(const Case& item, const char* dataCentre)
 {
     constexpr int milliseconds = 20000;
-    const auto asked = server("s1");
-    ProbeDesk desk({ .fleetPerSecond = item.perSecond, .dataCentre = dataCentre });
+    const auto asked = server("s1", "dc-0");
+    Random random(1);
+    ProbeDesk desk({ .fleetPerSecond = item.perSecond, .dataCentre = dataCentre }, random);
     desk.setFleet(item.instances, item.dataCentres);
     int probes = 0;
     for (int now = 0; now < milliseconds; ++now) {
@@ -50,27 +114,44 @@
 
 TEST_GROUP(ProbeDesk){};
 
-TEST(ProbeDesk, TheFleetKeepsItsBudgetHoweverLarge)
+// Also right after all have started or woken together, when nobody has asked before.
+TEST(ProbeDesk, TheFleetKeepsItsBudgetInEverySecondHoweverLarge)
 {
-    constexpr double seconds = 20;
     for (const Case& item : Cases) {
-        const auto instances = static_cast<double>(item.instances);
-        const double near = instances / static_cast<double>(item.dataCentres);
-        const double probes = probesFrom(item, "dc-1") * near + probesFrom(item, "dc-2") * (instances - near);
-        const double atStart = 3 * instances; // the burst
-        CHECK(probes <= item.perSecond * item.share * seconds + atStart);
+        for (const int every : { 10, 249, 700, 999 }) {
+            // A fleet of three knows of fewer than the least that is assumed, which is on the safe side.
+            CHECK_TEXT(mostInAnySecond(item, every) <= item.perSecond * item.share + 0.5, item.name);
+        }
+    }
+}
+
+// Many instances with few requests each: the first request must find servers that it may ask.
+TEST(ProbeDesk, AtTheFirstMomentAnInstanceOfALargeFleetMayAskSomeOfTheServersNearby)
+{
+    constexpr std::size_t servers = 18;
+    constexpr int fewestInTheMean = 3;
+    constexpr std::size_t fleet = 473;
+    int asked = 0;
+    Random random(1);
+    for (std::size_t instance = 0; instance < fleet; ++instance) {
+        ProbeDesk desk({ .fleetPerSecond = 60, .dataCentre = "dc-1" }, random);
+        desk.setFleet(fleet, 6);
+        for (std::size_t each = 0; each < servers; ++each)
+            asked += desk.start(server(("s" + std::to_string(each)).c_str()), "/load", 1, { 5 }) ? 1 : 0;
     }
+    CHECK(asked >= fewestInTheMean * static_cast<int>(fleet));
 }
 
 TEST(ProbeDesk, InstancesNearbyMayAskMore)
 {
-    const Case item{ 18, 4, 60, 1 };
-    CHECK(probesFrom(item, "dc-1") > 5 * probesFrom(item, "dc-2"));
+    const Case item{ "eighteen", 18, 4, 60, 1 };
+    CHECK(probesFrom(item, "dc-0") > 5 * probesFrom(item, "dc-1"));
 }
 
 TEST(ProbeDesk, NeverAsksAServerTwiceAtTheSameTime)
 {
-    ProbeDesk desk({ .fleetPerSecond = 1000 });
+    Random random(1);
+    ProbeDesk desk({ .fleetPerSecond = 1000 }, random);
     const auto asked = server("s1");
     const auto probe = desk.start(asked, "/load", 1, { 0 });
     CHECK(probe.has_value());
@@ -83,6 +164,7 @@
 
 TEST(ProbeDesk, AsksNobodyWithoutAPath)
 {
-    ProbeDesk desk({});
+    Random random(1);
+    ProbeDesk desk({}, random);
     CHECK_FALSE(desk.start(server("s1"), "", 1, { 0 }).has_value());
 }
--- /dev/null
+++ b/Tests/Node/FiguresTest.cpp
@@ -0,0 +1,60 @@
+#include "Tests/Virtual/VirtualFleet.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+/** Two searches, one after the other, at an instance that has heard nothing of its servers. */
+struct Case {
+    const char* name;
+    std::size_t servers;
+    double probesPerSecond;
+    Milliseconds gap;
+    std::size_t fewest; // questions for both
+    std::size_t most;
+};
+
+const std::vector<Case> Cases{
+    { "younger figures are not asked for again", 3, 600, { 10 }, 3, 3 },
+    { "older ones are", 3, 600, { 200 }, 6, 6 },
+    { "a server that may not be asked again gives way to another", 10, 2, { 200 }, 4, 6 },
+};
+
+constexpr Milliseconds Patience{ 2000 };
+
+std::size_t probesOf(const Case& item)
+{
+    VirtualFleet::Options options;
+    options.instances = 1;
+    options.probesPerSecond = item.probesPerSecond;
+    options.requests.hedges = false;
+    VirtualFleet fleet(options);
+    for (std::size_t server = 0; server < item.servers; ++server)
+        fleet.addServer({ .id = "s" + std::to_string(server), .work = { 4 } });
+    fleet.configure(virtualConfiguration(fleet.serverIds(), 1));
+    fleet.startAll();
+    fleet.run({ 500 });
+    fleet.send(0, "bookings.example", "GET", "/search", Patience);
+    fleet.run(item.gap);
+    fleet.send(0, "bookings.example", "GET", "/search", Patience);
+    fleet.run({ 100 });
+    return fleet.probes();
+}
+
+}
+
+TEST_GROUP(Figures){};
+
+TEST(Figures, ThreeServersAreKnownBeforeAChoice)
+{
+    for (const Case& item : Cases) {
+        const std::size_t asked = probesOf(item);
+        CHECK_TEXT(asked >= item.fewest && asked <= item.most, item.name);
+    }
+}
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -228,15 +228,7 @@
 {
     const auto server = this->pool.find("s1");
     server->leavingSign(true, this->context.now);
-    const auto isAsked = [&](Milliseconds now) {
-        RoutingContext later = this->context;
-        later.now = now;
-        for (const auto& asked : this->pool.worthProbing(2, { 25 }, later, this->random)) {
-            if (asked == server)
-                return true;
-        }
-        return false;
-    };
+    const auto isAsked = [&](Milliseconds now) { return this->pool.leavingOfLongAgo(now) == server; };
     CHECK_FALSE(isAsked(this->context.now + Milliseconds{ 1000 }));
     CHECK(isAsked(this->context.now + Milliseconds{ 2100 }));
     server->leavingSign(true, this->context.now + Milliseconds{ 2110 });
@@ -256,10 +248,10 @@
     CHECK(this->pool.choose({}, this->context, this->random).reason == NoChoice::Full);
 }
 
-TEST(ServicePool, AsksTheBestThatHaveNoFreshFigures)
+TEST(ServicePool, TheBestAreWorthKnowingFirst)
 {
-    this->pool.find("s1")->reported({ 0, 0, 3, 100 }, this->context.now);
-    const auto worth = this->pool.worthProbing(3, { 25 }, this->context, this->random);
+    this->pool.find("s1")->reported({ 3, 2, 3, 500 }, this->context.now);
+    const auto worth = this->pool.worthKnowing(2, this->context, this->random);
     LONGS_EQUAL(2, worth.size());
     for (const auto& server : worth)
         CHECK(server->id() != "s1");
