Let a first reading of the store be some seconds old, and wait while it comes

Cause: at each start and after a loss of all instances every instance read the whole store anew at full price, all at the same moment: 719 records in two pages. What did not arrive within 0.8 s was given up and asked again, over a link that all of them share, although its bytes were coming.

It is complete from the earliest of its pages, as these need not show the same moment. A call's time-out is one of silence, and doubles once after a silence. A first reading is left off when another instance told everything meanwhile.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -109,8 +109,11 @@
     if (this->isOver)
         return;
     this->input.append(this->chunk.data(), size);
-    if (!error)
+    if (!error) {
+        if (this->options.isTimeoutOfSilence)
+            this->limitTime(this->options.timeout, HttpExchangeResult::TimedOut);
         return this->parse();
+    }
     // Only a connection that was closed in order ends an answer without a length.
     if (error == asio::error::eof && this->finishUnframed())
         return this->answerParsed();
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -44,6 +44,7 @@
         bool isHead = false;
         Milliseconds connectTimeout{ 250 };
         Milliseconds timeout = Never; // for the whole exchange
+        bool isTimeoutOfSilence = false; // the time-out begins anew with each byte of the answer
         std::size_t longestAnswer = 67108864;
         /** False for an answer that belongs to another request; it is skipped. Empty: all are taken. */
         std::function<bool(const HttpResponse&)> isOwnAnswer;
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -391,14 +391,14 @@
     for (const InForceCall& call : this->inForceCalls)
         due = std::min(due, call.giveUp);
     const bool mayBegin = !this->parts.store->isWatching() && this->parts.store->view().revision();
-    return mayBegin ? std::min(due, this->duty.nextChange(this->parts.store->confirmedAt())) : due;
+    return mayBegin ? std::min(due, this->duty.nextChange(this->parts.store->heardAt())) : due;
 }
 
 bool NewsExchange::shouldWatch(Milliseconds now)
 {
     // Before the first reading there is nothing to watch from.
     return this->parts.store->view().revision()
-        && this->duty.shouldWatch(this->parts.store->isWatching(), this->parts.store->confirmedAt(), now);
+        && this->duty.shouldWatch(this->parts.store->isWatching(), this->parts.store->heardAt(), now);
 }
 
 std::size_t NewsExchange::instances(Milliseconds now) const
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -52,6 +52,8 @@
     this->noteStore(answer, news.isFailure, now, actions);
     if (news.isConfirmed)
         this->noteConfirmed(news.confirmedAt, now);
+    if (news.isStaleReading)
+        this->readAt = now;
     this->tell(news.changes, FactSource::Store, now, actions);
     return news.isConfirmed;
 }
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -9,6 +9,7 @@
 #include "Store/StoreView.h"
 #include "peers.pb.h"
 
+#include <algorithm>
 #include <span>
 #include <vector>
 
@@ -56,6 +57,8 @@
     const StoreView& view() const { return this->storeView; }
     /** The view was current at this time. */
     Milliseconds confirmedAt() const { return this->confirmed; }
+    /** When it was confirmed last, or read as it was some seconds before. */
+    Milliseconds heardAt() const { return std::max(this->confirmed, this->readAt); }
     /**
      * Until when a record that is missing may come back, since it may have
      * lapsed only while the store was away; before now when it was not away.
@@ -81,6 +84,7 @@
     StoreListener* listener;
     DecisionCounters* counters;
     Milliseconds confirmed = LongAgo;
+    Milliseconds readAt = LongAgo; // a reading ended that may have been stale
     Milliseconds returnedAt = LongAgo; // first heard of after it was away
     bool storeAnswers = true;
     unsigned failuresInARow = 0;
--- a/Source/Store/StoreCall.h
+++ b/Source/Store/StoreCall.h
@@ -13,7 +13,7 @@
 using StoreCallNumber = std::uint64_t;
 
 enum class StoreOperation {
-    ReadRange, // a page of the items under a prefix, linearizable
+    ReadRange, // a page of the items under a prefix
     Watch, // waits for changes under a prefix
     Write // one key, under the condition of its revision
 };
@@ -24,11 +24,12 @@
     StoreOperation operation = StoreOperation::ReadRange;
     std::string key; // the prefix when reading a range or watching
     std::string afterKey; // of a range: the last key of the page before; empty for the first page
+    bool mayBeStale = false; // of a range: an answer some seconds old will do, which costs the store less
     StoreRevision after = 0; // of a watch: changes up to this one are known
     Milliseconds wait; // of a watch: how long the store may wait for a change
     std::string value; // of a write
     StoreRevision expected = 0; // of a write: the revision that the key must have; 0: the key is absent
-    Milliseconds timeout{ 1000 }; // without an answer for so long the outcome is unknown
+    Milliseconds timeout{ 1000 }; // without a byte of an answer for so long the outcome is unknown
 };
 
 enum class StoreStatus {
@@ -45,7 +46,7 @@
     StoreStatus status = StoreStatus::Unknown;
     std::vector<StoreItem> items; // of a range or a watch
     bool more = false; // of a range: another page follows
-    StoreRevision at = 0; // the store's revision at the answer; after a write that of the write
+    StoreRevision at = 0; // the revision that the answer shows; after a write that of the write
 };
 
 /** Names as they stand in log lines and metrics, such as "read_range". */
--- a/Source/Store/StoreReader.cpp
+++ b/Source/Store/StoreReader.cpp
@@ -12,6 +12,7 @@
     , numbers(&givenNumbers)
     , random(&givenRandom)
     , backoff(this->options.backoff)
+    , readPatience(this->options.readTimeout)
 {
 }
 
@@ -21,7 +22,7 @@
     request.number = this->numbers->next();
     request.operation = operation;
     request.key = this->options.prefix;
-    request.timeout = this->options.readTimeout;
+    request.timeout = this->readPatience;
     this->pending = request.number;
     this->pendingOperation = operation;
     this->sentAt = now;
@@ -33,12 +34,17 @@
     this->watching = shouldWatch;
     if (this->pending || now < this->pausedUntil)
         return std::nullopt;
+    // Another instance told everything meanwhile.
+    if (this->pagesMayBeStale && !this->isFirstReading())
+        this->pages.clear();
     if (this->mustRead()) {
         StoreRequest request = this->newRequest(StoreOperation::ReadRange, now);
-        if (this->pages.empty())
+        if (this->pages.empty()) {
             this->readingSince = now;
-        else
+            this->pagesMayBeStale = this->isFirstReading();
+        } else
             request.afterKey = this->pages.back().key;
+        request.mayBeStale = this->pagesMayBeStale;
         return request;
     }
     if (!shouldWatch)
@@ -66,13 +72,16 @@
         return {};
     }
     if (answer.status != StoreStatus::Done)
-        return this->failed(now);
+        return this->failed(answer.status, now);
     this->backoff.reset();
+    this->readPatience = this->options.readTimeout;
     return this->pendingOperation == StoreOperation::Watch ? this->watched(answer, now) : this->rangeRead(answer, now);
 }
 
-StoreNews StoreReader::failed(Milliseconds now)
+StoreNews StoreReader::failed(StoreStatus status, Milliseconds now)
 {
+    if (status == StoreStatus::Unknown)
+        this->readPatience = std::min(this->readPatience * 2, this->options.longestReadTimeout);
     this->pausedUntil = now + this->backoff.next(*this->random);
     StoreNews news;
     news.isFailure = true;
@@ -82,15 +91,15 @@
 StoreNews StoreReader::rangeRead(const StoreAnswer& answer, Milliseconds now)
 {
     this->latency = now - this->sentAt;
-    if (this->pages.empty())
-        this->pagesAt = answer.at;
+    // Pages are no snapshot: later ones show a later revision or, when they may be stale, an earlier one.
+    this->pagesAt = this->pages.empty() ? answer.at : std::min(this->pagesAt, answer.at);
     this->pages.insert(this->pages.end(), answer.items.begin(), answer.items.end());
     if (answer.more && !answer.items.empty())
         return {};
     StoreNews news;
-    // The pages are no snapshot: only the first one's revision is complete.
     news.changes = this->view->replaceAll(this->pages, this->pagesAt);
-    news.isConfirmed = true;
+    news.isConfirmed = !this->pagesMayBeStale;
+    news.isStaleReading = this->pagesMayBeStale;
     news.confirmedAt = this->readingSince;
     this->pages.clear();
     this->historyLost = false;
--- a/Source/Store/StoreReader.h
+++ b/Source/Store/StoreReader.h
@@ -19,6 +19,7 @@
     std::vector<StoreItem> changes;
     bool isConfirmed = false; // the view was complete when the call was sent
     Milliseconds confirmedAt = LongAgo;
+    bool isStaleReading = false; // everything was read, as it was some seconds ago at most
     bool isFailure = false; // the store gave no usable answer
 };
 
@@ -27,6 +28,10 @@
  * watches as long as it is told to, and reads everything again when the store
  * has forgotten the changes in between. A call without a usable answer is
  * followed by a pause that grows, with jitter.
+ *
+ * The first reading may be some seconds old, which spares the store most when
+ * a whole fleet starts: news of other instances or a watch from its revision
+ * bring what it lacks.
  */
 class StoreReader {
 public:
@@ -34,7 +39,8 @@
         std::string prefix; // of the keys that are watched
         Milliseconds watchWait{ 1200 }; // also how often a quiet store confirms the view
         Milliseconds watchGap{ 150 }; // between changes and the next watch, so that changes in a row come together
-        Milliseconds readTimeout{ 800 };
+        Milliseconds readTimeout{ 800 }; // without a byte; doubled after a silence, up to the longest
+        Milliseconds longestReadTimeout{ 1600 }; // hundreds that read at once share the store's link
         Milliseconds watchGrace{ 500 }; // a watch without an answer is given up this long after its wait
         Backoff::Options backoff{ .first = { 100 }, .longest = { 1500 } };
     };
@@ -53,10 +59,12 @@
 
 private:
     StoreRequest newRequest(StoreOperation operation, Milliseconds now);
-    StoreNews failed(Milliseconds now);
+    StoreNews failed(StoreStatus status, Milliseconds now);
     StoreNews rangeRead(const StoreAnswer& answer, Milliseconds now);
     StoreNews watched(const StoreAnswer& answer, Milliseconds now);
     bool mustRead() const;
+    /** Nothing is known yet, neither of the store nor of other instances. */
+    bool isFirstReading() const { return !this->historyLost && !this->view->revision(); }
 
     Options options;
     StoreView* view;
@@ -68,11 +76,13 @@
     Milliseconds sentAt = LongAgo;
     Milliseconds readingSince = LongAgo; // when the first page was asked for
     Milliseconds pausedUntil = LongAgo;
+    Milliseconds readPatience; // the time-out of the next reading
     Milliseconds latency; // of the store's answers, as last measured
     bool historyLost = false; // everything must be read before the next watch
     bool watching = false;
     std::vector<StoreItem> pages;
-    StoreRevision pagesAt = 0;
+    bool pagesMayBeStale = false;
+    StoreRevision pagesAt = 0; // through which all of them together are complete
 };
 
 }
--- a/Source/StoreClient/HttpStoreClient.cpp
+++ b/Source/StoreClient/HttpStoreClient.cpp
@@ -35,6 +35,8 @@
     options.request = encode(std::move(message));
     options.connectTimeout = ConnectTimeout;
     options.timeout = request.timeout;
+    // A large reading goes on while bytes come: to ask again would make a busy link busier.
+    options.isTimeoutOfSilence = true;
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
         [this, request](HttpExchangeEnd end) { this->ended(request, std::move(end)); });
     this->underWay[request.number] = exchange;
--- a/Source/StoreClient/OwnStoreWire.cpp
+++ b/Source/StoreClient/OwnStoreWire.cpp
@@ -14,7 +14,7 @@
 {
     switch (request.operation) {
     case StoreOperation::ReadRange:
-        return { { "prefix", request.key }, { "after_key", request.afterKey } };
+        return { { "prefix", request.key }, { "after_key", request.afterKey }, { "may_be_stale", request.mayBeStale } };
     case StoreOperation::Watch:
         return { { "prefix", request.key }, { "after", request.after }, { "wait_milliseconds", request.wait.count } };
     case StoreOperation::Write:
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -22,6 +22,7 @@
     std::string bytes;
     bool closes = false;
     bool resets = false;
+    std::chrono::milliseconds afterEachByte{ 0 }; // a pause
 };
 
 /** Accepts one connection and follows its script. */
@@ -48,7 +49,7 @@
         std::array<char, 4096> buffer{};
         asio::error_code ignored;
         socket.read_some(asio::buffer(buffer), ignored);
-        asio::write(socket, asio::buffer(this->script.bytes), ignored);
+        this->send(socket);
         if (this->script.resets)
             socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (this->script.closes || this->script.resets) {
@@ -60,6 +61,19 @@
         socket.read_some(asio::buffer(buffer), ignored);
     }
 
+    void send(asio::ip::tcp::socket& socket) const
+    {
+        asio::error_code ignored;
+        if (!this->script.afterEachByte.count()) {
+            asio::write(socket, asio::buffer(this->script.bytes), ignored);
+            return;
+        }
+        for (const char& byte : this->script.bytes) {
+            asio::write(socket, asio::buffer(&byte, 1), ignored);
+            std::this_thread::sleep_for(this->script.afterEachByte);
+        }
+    }
+
     Script script;
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor;
@@ -177,6 +191,26 @@
     CHECK(result == HttpExchangeResult::Answered);
 }
 
+// A large answer over a busy link: its bytes come for longer than any silence that is borne.
+TEST(HttpExchange, ATimeoutOfSilenceBeginsAnewWithEachByte)
+{
+    for (const bool isOfSilence : { true, false }) {
+        // 55 bytes, 10 ms each.
+        const ScriptedServer server({ .bytes = Ok, .afterEachByte = std::chrono::milliseconds(10) });
+        asio::io_context context;
+        HttpExchangeResult result = HttpExchangeResult::Broken;
+        const auto exchange = std::make_shared<HttpExchange>(context,
+            HttpExchange::Options{ .address = server.address(),
+                .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                .timeout = { 250 },
+                .isTimeoutOfSilence = isOfSilence },
+            [&](const HttpExchangeEnd& end) { result = end.result; });
+        exchange->start(nullptr);
+        context.run();
+        CHECK(result == (isOfSilence ? HttpExchangeResult::Answered : HttpExchangeResult::TimedOut));
+    }
+}
+
 TEST(HttpExchange, AReusedConnectionThatClosesUnderTheRequestIsNoProofOfAnything)
 {
     const ScriptedServer server({ "", true, false });
--- a/Tests/Store/StoreReaderTest.cpp
+++ b/Tests/Store/StoreReaderTest.cpp
@@ -43,21 +43,77 @@
     }
 };
 
-TEST(StoreReader, ReadsPageAfterPageAndIsCompleteFromTheFirst)
+namespace {
+
+/** Two pages of a reading and the revisions that they show. */
+struct PagesCase {
+    const char* name;
+    bool isFirst; // nothing is known before it
+    StoreRevision firstAt;
+    StoreRevision secondAt;
+    StoreRevision complete;
+};
+
+const std::vector<PagesCase> PagesCases{
+    { "later pages are no part of the first revision", true, 7, 9, 7 },
+    { "a later page may show an earlier state", true, 9, 7, 7 },
+    { "after the history was lost everything is read anew", false, 17, 19, 17 },
+};
+
+}
+
+TEST(StoreReader, ReadsPageAfterPageAndIsCompleteFromTheEarliest)
+{
+    for (const PagesCase& item : PagesCases) {
+        StoreView ownView;
+        this->reader = StoreReader({ .prefix = "p/" }, ownView, this->numbers, this->random);
+        if (!item.isFirst) {
+            this->readAll({ 0 });
+            this->answer(*this->reader.next({ 0 }, true), StoreStatus::HistoryLost, {}, 0, false, { 0 });
+        }
+        const auto first = this->reader.next({ 0 }, false);
+        CHECK(first && first->operation == StoreOperation::ReadRange);
+        CHECK_EQUAL_TEXT(item.isFirst, first->mayBeStale, item.name);
+        CHECK_FALSE_TEXT(this->reader.next({ 1 }, false).has_value(), "one call at a time");
+        const StoreNews halfway
+            = this->answer(*first, StoreStatus::Done, { ::item("p/a", 3) }, item.firstAt, true, { 4 });
+        CHECK_FALSE(halfway.isConfirmed || halfway.isStaleReading);
+        const auto second = this->reader.next({ 4 }, false);
+        STRCMP_EQUAL("p/a", second->afterKey.c_str());
+        CHECK_EQUAL_TEXT(item.isFirst, second->mayBeStale, item.name);
+        const StoreNews whole
+            = this->answer(*second, StoreStatus::Done, { ::item("p/b", 5) }, item.secondAt, false, { 8 });
+        CHECK_EQUAL_TEXT(!item.isFirst, whole.isConfirmed, item.name);
+        CHECK_EQUAL_TEXT(item.isFirst, whole.isStaleReading, item.name);
+        CHECK(!whole.changes.empty());
+        LONGS_EQUAL_TEXT(item.complete, ownView.revision(), item.name);
+        DOUBLES_EQUAL_TEXT(0, whole.confirmedAt.count, 0.01, "it was complete when the first page was asked for");
+        CHECK_FALSE_TEXT(this->reader.next({ 9 }, false).has_value(), "without the duty to watch nothing follows");
+    }
+}
+
+TEST(StoreReader, LeavesOffItsFirstReadingWhenAnotherInstanceToldEverything)
+{
+    const auto first = this->reader.next({ 0 }, true);
+    this->answer(*first, StoreStatus::Done, { item("p/a", 3) }, 7, true, { 4 });
+    const std::vector<StoreItem> told{ item("p/a", 3), item("p/b", 5) };
+    this->view.replaceAll(told, 8);
+    const auto next = this->reader.next({ 5 }, true);
+    CHECK(next && next->operation == StoreOperation::Watch);
+    LONGS_EQUAL(8, next->after);
+}
+
+TEST(StoreReader, WaitsLongerForAReadingAfterASilence)
 {
-    const auto first = this->reader.next({ 0 }, false);
-    CHECK(first && first->operation == StoreOperation::ReadRange);
-    CHECK_FALSE_TEXT(this->reader.next({ 1 }, false).has_value(), "one call at a time");
-    const StoreNews halfway = this->answer(*first, StoreStatus::Done, { item("p/a", 3) }, 7, true, { 4 });
-    CHECK_FALSE(halfway.isConfirmed);
-    const auto second = this->reader.next({ 4 }, false);
-    STRCMP_EQUAL("p/a", second->afterKey.c_str());
-    const StoreNews whole = this->answer(*second, StoreStatus::Done, { item("p/b", 9) }, 9, false, { 8 });
-    CHECK(whole.isConfirmed);
-    LONGS_EQUAL(2, whole.changes.size());
-    LONGS_EQUAL_TEXT(7, this->view.revision(), "later pages are no part of the first revision");
-    DOUBLES_EQUAL_TEXT(0, whole.confirmedAt.count, 0.01, "it was complete when the first page was asked for");
-    CHECK_FALSE_TEXT(this->reader.next({ 9 }, false).has_value(), "without the duty to watch nothing follows");
+    const auto first = this->reader.next({ 0 }, true);
+    this->answer(*first, StoreStatus::Unknown, {}, 0, false, first->timeout);
+    const auto second = this->reader.next(this->reader.nextAt(), true);
+    DOUBLES_EQUAL(2 * first->timeout.count, second->timeout.count, 0.01);
+    this->answer(*second, StoreStatus::Unknown, {}, 0, false, { 5000 });
+    const auto third = this->reader.next(this->reader.nextAt(), true);
+    DOUBLES_EQUAL_TEXT(second->timeout.count, third->timeout.count, 0.01, "there is a longest one");
+    this->answer(*third, StoreStatus::Done, { item("p/a", 3) }, 7, true, { 9000 });
+    DOUBLES_EQUAL(first->timeout.count, this->reader.next({ 9000 }, true)->timeout.count, 0.01);
 }
 
 TEST(StoreReader, WatchesFromWhereItStandsAndConfirmsQuiet)
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -82,7 +82,7 @@
 
 VirtualFleet::VirtualFleet(const Options& givenOptions)
     : options(givenOptions)
-    , store({}, this->time)
+    , store(givenOptions.store, this->time)
     , nodes(givenOptions.instances)
     , messagesOf(givenOptions.instances, 0)
 {
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -43,6 +43,7 @@
         double probesPerSecond = 60;
         std::shared_ptr<const PolicyFactory> policies;
         RequestFlow::Options requests;
+        VirtualStore::Options store;
         std::shared_ptr<const FactTranslator> translator; // null: the product's own form
         double linkBytesPerMillisecond = 0; // of each instance, each way, one message after another; 0: endless
         Milliseconds translation{ 5 }; // of a large item
--- a/Tests/Virtual/VirtualStore.cpp
+++ b/Tests/Virtual/VirtualStore.cpp
@@ -26,6 +26,7 @@
 void VirtualStore::call(const std::string& instance, const StoreRequest& request, Answer answer)
 {
     ++this->callCount;
+    this->staleCount += request.mayBeStale ? 1 : 0;
     ++this->byOperation[request.operation];
     if (this->fault == StoreFault::Silent)
         return;
@@ -53,8 +54,9 @@
     StoreAnswer answer;
     answer.number = request.number;
     answer.status = StoreStatus::Done;
-    answer.at = this->last;
-    for (const auto& [key, item] : this->items) {
+    const bool isStale = request.mayBeStale && !this->states.empty();
+    answer.at = isStale ? this->staleState().revision : this->last;
+    for (const auto& [key, item] : isStale ? this->staleState().items : this->items) {
         if (!key.starts_with(request.key) || (!request.afterKey.empty() && key <= request.afterKey))
             continue;
         answer.more = answer.items.size() == this->options.page;
@@ -65,6 +67,20 @@
     return answer;
 }
 
+const VirtualStore::State& VirtualStore::staleState() const
+{
+    const Milliseconds shown = this->time->now() - this->options.staleBehind;
+    const auto found = std::find_if(
+        this->states.rbegin(), this->states.rend(), [shown](const State& state) { return state.since <= shown; });
+    return found == this->states.rend() ? this->states.front() : *found;
+}
+
+void VirtualStore::keepState()
+{
+    if (this->options.staleBehind > Milliseconds{})
+        this->states.push_back({ .items = this->items, .revision = this->last, .since = this->time->now() });
+}
+
 StoreAnswer VirtualStore::write(const StoreRequest& request)
 {
     StoreAnswer answer;
@@ -150,6 +166,7 @@
 {
     const StoreItem item{ .key = key, .value = value, .revision = ++this->last, .removed = false };
     this->items[key] = item;
+    this->keepState();
     this->note(item);
     return this->last;
 }
@@ -158,7 +175,9 @@
 {
     if (!this->items.erase(key))
         return;
-    this->note({ .key = key, .value = {}, .revision = ++this->last, .removed = true });
+    const StoreItem removal{ .key = key, .value = {}, .revision = ++this->last, .removed = true };
+    this->keepState();
+    this->note(removal);
 }
 
 void VirtualStore::forgetHistory()
--- a/Tests/Virtual/VirtualStore.h
+++ b/Tests/Virtual/VirtualStore.h
@@ -34,6 +34,7 @@
     struct Options {
         Milliseconds latency{ 4 };
         std::size_t page = 50;
+        Milliseconds staleBehind; // how old an answer is that may be stale
     };
 
     VirtualStore(Options options, VirtualTime& time);
@@ -51,6 +52,7 @@
 
     StoreRevision revision() const { return this->last; }
     std::size_t calls() const { return this->callCount; }
+    std::size_t staleReadings() const { return this->staleCount; }
     std::size_t callsOf(StoreOperation operation) const { return this->byOperation.at(operation); }
 
 private:
@@ -64,7 +66,17 @@
     bool isTurnedAway(const std::string& instance) const { return this->turnedAway.contains(instance); }
     void serve(const std::string& instance, const StoreRequest& request, const Answer& answer);
     void watch(const std::string& instance, const StoreRequest& request, const Answer& answer);
+    /** What the store held at some moment. */
+    struct State {
+        std::map<std::string, StoreItem> items;
+        StoreRevision revision = 0;
+        Milliseconds since;
+    };
+
     StoreAnswer range(const StoreRequest& request) const;
+    /** The latest state that is as old as a stale answer, else the first one. */
+    const State& staleState() const;
+    void keepState();
     StoreAnswer write(const StoreRequest& request);
     std::vector<StoreItem> eventsFor(const StoreRequest& request) const;
     void wakeWatches();
@@ -74,6 +86,7 @@
     Options options;
     VirtualTime* time;
     std::map<std::string, StoreItem> items;
+    std::deque<State> states; // earlier ones, while answers may be stale
     std::deque<StoreItem> history;
     StoreRevision last = 0;
     StoreRevision forgottenThrough = 0;
@@ -82,6 +95,7 @@
     std::vector<Waiting> watches;
     std::uint64_t lastWatch = 0;
     std::size_t callCount = 0;
+    std::size_t staleCount = 0;
     std::map<StoreOperation, std::size_t> byOperation{ { StoreOperation::ReadRange, 0 }, { StoreOperation::Watch, 0 },
         { StoreOperation::Write, 0 } };
 };
