Leave a store that is away to the watchers while they say that they ask it

Cause: without an answer of the store nobody told anything, so every instance took its knowledge to be old after 1.45 to 1.7 s and asked the store itself, again and again, each call priced: 473 instances, an outage of 8 s.

Change: a watcher that has spread nothing for 1.3 s tells that it still asks, with the age of what it knows. Who hears that, and of no watcher with fresh answers, leaves it to them and asks in a turn of its own: ten instances a second of the whole fleet, one call each unless it succeeds. So a store that turns just the watchers away is found again by others within a second or two; the one that found it tells the watchers, which introduce it to everybody. A watcher that ends is missed no later than before. Restarted instances find watchers that ask through the seeds.

--- a/Source/Membership/WatchDuty.cpp
+++ b/Source/Membership/WatchDuty.cpp
@@ -59,6 +59,7 @@
         return;
     watcher->confirmedAt = std::max(watcher->confirmedAt, confirmedAt);
     watcher->knownAt = now;
+    watcher->toldAt = now;
 }
 
 bool WatchDuty::knows(const peers::Incarnation& watcher) const
@@ -80,13 +81,38 @@
     return now - watcher.confirmedAt <= this->options.remembered;
 }
 
-std::size_t WatchDuty::activePeers(Milliseconds now) const
+bool WatchDuty::isAsking(const Watcher& watcher, Milliseconds now) const
+{
+    // As for knowledge: a watcher that ended is missed no later than its news are.
+    return now < watcher.toldAt + this->options.staleAfter;
+}
+
+Milliseconds WatchDuty::othersAskInVainUntil(Milliseconds now) const
+{
+    Milliseconds until = LongAgo;
+    for (const Watcher& watcher : this->known) {
+        // Its news do not come through whole, or knowledge here would be fresh.
+        if (now < watcher.confirmedAt + this->options.staleAfter)
+            return LongAgo;
+        until = std::max(until, watcher.toldAt + this->options.staleAfter);
+    }
+    return until;
+}
+
+std::size_t WatchDuty::peersWithDuty(Milliseconds now) const
 {
     return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&](const Watcher& watcher) {
-        return watcher.rank.weakness <= this->ownRank.weakness && this->isActive(watcher, now);
+        const bool hasDuty = this->isActive(watcher, now) || this->isAsking(watcher, now);
+        return watcher.rank.weakness <= this->ownRank.weakness && hasDuty;
     }));
 }
 
+std::size_t WatchDuty::askingOthersBelow(Milliseconds now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(),
+        [&](const Watcher& watcher) { return watcher.rank < this->ownRank && this->isAsking(watcher, now); }));
+}
+
 std::size_t WatchDuty::activeOthersBelow(Milliseconds now) const
 {
     return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(),
@@ -109,17 +135,39 @@
     return now >= confirmedAt + this->stalenessBound();
 }
 
-bool WatchDuty::shouldWatch(bool isWatching, Milliseconds confirmedAt, Milliseconds now)
+bool WatchDuty::shouldAskItself(bool isWatching, std::size_t instances, Milliseconds now)
+{
+    const Milliseconds until = this->othersAskInVainUntil(now);
+    const bool isOneOfFew = isWatching && this->askingOthersBelow(now) < this->options.wanted;
+    if (now >= until || isOneOfFew) {
+        this->turnAt = Never;
+        return true;
+    }
+    const Milliseconds round = std::max(
+        Second * (static_cast<double>(instances) / this->options.turnsPerSecond), this->options.staleAfter);
+    if (this->turnAt == Never)
+        this->turnAt = now + round * placeOf(this->ownRank.hash);
+    if (now >= this->turnAt) {
+        this->turnAt = now + round;
+        // As long as a watch without an answer takes.
+        this->turnUntil = now + this->stalenessBound();
+    }
+    this->leavesItUntil = std::min(this->turnAt, until);
+    return now < this->turnUntil;
+}
+
+bool WatchDuty::shouldWatch(bool isWatching, Milliseconds confirmedAt, std::size_t instances, Milliseconds now)
 {
     std::erase_if(
         this->known, [&](const Watcher& watcher) { return now - watcher.knownAt > this->options.remembered; });
-    const bool isVacant = this->activePeers(now) < this->options.wanted;
+    const bool isVacant = this->peersWithDuty(now) < this->options.wanted;
     if (!isVacant)
         this->vacantSince = Never;
     else if (this->vacantSince == Never)
         this->vacantSince = now;
     if (this->isStale(confirmedAt, now))
-        return true;
+        return this->shouldAskItself(isWatching, instances, now);
+    this->turnAt = Never;
     if (isWatching)
         return this->activeOthersBelow(now) < this->options.wanted;
     return isVacant && now >= this->vacantSince + this->volunteerDelay();
@@ -127,7 +175,7 @@
 
 Milliseconds WatchDuty::nextChange(Milliseconds confirmedAt) const
 {
-    const Milliseconds staleAt = confirmedAt + this->stalenessBound();
+    const Milliseconds staleAt = std::max(confirmedAt + this->stalenessBound(), this->leavesItUntil);
     if (this->vacantSince == Never)
         return staleAt;
     return std::min(staleAt, this->vacantSince + this->volunteerDelay());
@@ -175,7 +223,8 @@
 {
     std::vector<peers::Member> found;
     for (const Watcher* watcher : this->ranked(now)) {
-        if (found.size() < this->options.wanted && this->isActive(*watcher, now))
+        const bool isHeard = this->isActive(*watcher, now) || this->isAsking(*watcher, now);
+        if (found.size() < this->options.wanted && isHeard)
             found.push_back(watcher->member);
     }
     return found;
--- a/Source/Membership/WatchDuty.h
+++ b/Source/Membership/WatchDuty.h
@@ -19,6 +19,10 @@
  * delay of its own that follows from its name, and leaves off when enough
  * others of a lower rank do it. Whoever hears nothing fresh, from whatever
  * cause, watches at once.
+ *
+ * While the store is away the watchers go on asking it and say so. Those that
+ * hear them leave it to them, or all would ask at once and again: each asks
+ * only in its turn, in case that the store turns just the watchers away.
  */
 class WatchDuty {
 public:
@@ -30,6 +34,11 @@
         Milliseconds staleSpread{ 250 }; // not all look for themselves at once
         Milliseconds remembered{ 3000 }; // a watcher that was not heard for longer is gone
         Milliseconds volunteerSpread{ 3000 };
+        /**
+         * By all instances together that leave it to watchers without success: within a second or two one finds out
+         * that the store serves others. With 473 instances 10 calls a second instead of some 400.
+         */
+        double turnsPerSecond = 10;
     };
 
     explicit WatchDuty(Options options);
@@ -40,8 +49,10 @@
     bool knows(const peers::Incarnation& watcher) const;
     void toldOfWatcher(const peers::Member& watcher, Milliseconds now);
 
-    /** The knowledge here was last known to be current at confirmedAt. */
-    bool shouldWatch(bool isWatching, Milliseconds confirmedAt, Milliseconds now);
+    /** The knowledge here was last known to be current at confirmedAt; the fleet is as large as it is known to be. */
+    bool shouldWatch(bool isWatching, Milliseconds confirmedAt, std::size_t instances, Milliseconds now);
+    /** A call to the store from here failed: its turn among those that leave it to others is over. */
+    void askedInVain() { this->turnUntil = LongAgo; }
     /** When shouldWatch() may change its mind although nothing is heard. */
     Milliseconds nextChange(Milliseconds confirmedAt) const;
     bool isStale(Milliseconds confirmedAt, Milliseconds now) const;
@@ -54,7 +65,7 @@
      * by others that go before them.
      */
     std::vector<peers::Member> watchers(Milliseconds now) const;
-    /** The best of those that were heard themselves. Only they are named to others, or a name would be passed round for
+    /** The best of those that were heard themselves, those with news of the store first. Only they are named to others, or a name would be passed round for
      * ever. */
     std::vector<peers::Member> heardWatchers(Milliseconds now) const;
 
@@ -72,13 +83,22 @@
         Rank rank;
         Milliseconds confirmedAt = LongAgo; // it heard from the store
         Milliseconds knownAt = LongAgo; // it or another one spoke of it
+        Milliseconds toldAt = LongAgo; // its own news came
     };
 
     Watcher* findOrAdd(const peers::Member& member);
+    /** It has the store's answers. */
     bool isActive(const Watcher& watcher, Milliseconds now) const;
+    /** It is there and asks the store, whether or not it gets answers. */
+    bool isAsking(const Watcher& watcher, Milliseconds now) const;
+    /** Until when watchers are taken to ask in vain, as far as heard by now; before now when one has fresh answers. */
+    Milliseconds othersAskInVainUntil(Milliseconds now) const;
+    /** Of an instance without fresh knowledge. */
+    bool shouldAskItself(bool isWatching, std::size_t instances, Milliseconds now);
     static Rank rankOf(std::string_view name, std::uint32_t capacity);
-    /** Others that watch and are at least as strong. */
-    std::size_t activePeers(Milliseconds now) const;
+    /** Others that watch or ask and are at least as strong. */
+    std::size_t peersWithDuty(Milliseconds now) const;
+    std::size_t askingOthersBelow(Milliseconds now) const;
     std::size_t activeOthersBelow(Milliseconds now) const;
     std::vector<const Watcher*> ranked(Milliseconds now) const;
     Milliseconds volunteerDelay() const;
@@ -88,6 +108,9 @@
     Rank ownRank;
     std::vector<Watcher> known;
     Milliseconds vacantSince = Never;
+    Milliseconds turnAt = Never; // when this instance asks although others do
+    Milliseconds turnUntil = LongAgo; // it has its turn
+    Milliseconds leavesItUntil = LongAgo; // to the watchers, though its knowledge is not fresh
 };
 
 }
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -314,10 +314,12 @@
 void NewsExchange::spread(Milliseconds now, Actions& actions)
 {
     this->members.tick(now);
+    this->spreadAt = now;
     const peers::PeerMessage message = this->newNews(this->spreadRevision, now);
     this->spreadRevision = this->parts.store->view().revision();
     const auto branches = firstBranches(this->members.members(), this->options.tree, now);
     this->sendOver(branches, message, actions);
+    this->tellOtherWatchers(message, now, actions);
     if (!message.news().large_changes_follow())
         return;
     peers::PeerMessage follows;
@@ -327,6 +329,18 @@
     this->sendOver(branches, std::move(follows), actions);
 }
 
+void NewsExchange::tellOtherWatchers(const peers::PeerMessage& news, Milliseconds now, Actions& actions) const
+{
+    const auto& list = this->members.members();
+    for (const peers::Member& watcher : this->duty.watchers(now)) {
+        const bool isTold = std::any_of(list.begin(), list.end(), [&](const KnownMember& known) {
+            return known.member.incarnation().name() == watcher.incarnation().name();
+        });
+        if (!isTold)
+            this->send(addressOf(watcher), news, actions);
+    }
+}
+
 void NewsExchange::tellSigns(Milliseconds now, Actions& actions)
 {
     if (this->parts.store->isWatching())
@@ -377,6 +391,8 @@
     // Only who watches looks for others that watch apart from it.
     if (now >= this->nextSeeds && this->parts.store->isWatching())
         this->helloToSeeds(now, actions);
+    if (now >= this->nextStillAsking() && this->parts.store->isWatching())
+        this->spread(now, actions);
     this->pull(now, actions);
     const auto isOver = [now](const InForceCall& call) { return now >= call.giveUp; };
     if (std::any_of(this->inForceCalls.begin(), this->inForceCalls.end(), isOver))
@@ -387,7 +403,7 @@
 {
     Milliseconds due = std::min(this->nextHello, this->pulls.nextDue());
     if (this->parts.store->isWatching())
-        due = std::min(due, this->nextSeeds);
+        due = std::min({ due, this->nextSeeds, this->nextStillAsking() });
     for (const InForceCall& call : this->inForceCalls)
         due = std::min(due, call.giveUp);
     const bool mayBegin = !this->parts.store->isWatching() && this->parts.store->view().revision();
@@ -398,7 +414,7 @@
 {
     // Before the first reading there is nothing to watch from.
     return this->parts.store->view().revision()
-        && this->duty.shouldWatch(this->parts.store->isWatching(), this->parts.store->heardAt(), now);
+        && this->duty.shouldWatch(this->parts.store->isWatching(), this->parts.store->heardAt(), this->instances(now), now);
 }
 
 std::size_t NewsExchange::instances(Milliseconds now) const
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -35,6 +35,11 @@
         Milliseconds helloInterval{ 1200 };
         Milliseconds searchInterval{ 250 }; // between first hellos while no watcher is known, then growing
         Milliseconds seedInterval{ 4000 }; // watchers look for others at their seeds
+        /**
+         * A watcher without an answer of the store tells that it still asks: later than a quiet watch ends, and 150 ms
+         * before others take their knowledge to be old.
+         */
+        Milliseconds stillAskingInterval{ 1300 };
         MemberTable::Options members;
         WatchDuty::Options duty;
         NewsTreeOptions tree;
@@ -61,6 +66,8 @@
     Milliseconds nextDue() const;
 
     bool shouldWatch(Milliseconds now);
+    /** The store gave no usable answer to a call from here. */
+    void askedInVain() { this->duty.askedInVain(); }
     /** Instances of the fleet, this one included, as far as it is known. */
     std::size_t instances(Milliseconds now) const;
     /** Asks those who know all instances; the answer comes with takeInForce(). */
@@ -92,6 +99,9 @@
     void pushReceived(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
     /** Passes news or a push on to those that it names. */
     void relay(const peers::PeerMessage& message, Actions& actions) const;
+    /** Whoever has found the store again may be known to nobody: the watchers introduce it to all. */
+    void tellOtherWatchers(const peers::PeerMessage& news, Milliseconds now, Actions& actions) const;
+    Milliseconds nextStillAsking() const { return this->spreadAt + this->options.stillAskingInterval; }
     void sendOver(const std::vector<NewsBranch>& branches, peers::PeerMessage message, Actions& actions) const;
     /** The leading watcher introduces members, others only where they know no watcher. */
     bool introducesOthers(Milliseconds now) const;
@@ -120,6 +130,7 @@
     Milliseconds toldInstancesAt = LongAgo;
     Milliseconds nextHello = LongAgo;
     Milliseconds nextSeeds = LongAgo;
+    Milliseconds spreadAt = LongAgo;
     unsigned searches = 0; // in a row without a watcher
     bool asksByThemselves = false; // the last push held values that could not be unpacked
     std::vector<InForceCall> inForceCalls;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -174,6 +174,8 @@
     if (!this->changes.answered(event.answer, now) && this->store.answered(event.answer, now, actions)
         && this->store.isWatching())
         this->news.spread(now, actions);
+    if (this->store.hasFailed())
+        this->news.askedInVain();
     if (const auto written = this->changes.takeWritten())
         this->store.takeWritten(*written, now, actions);
     this->askStore(now, actions);
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -64,6 +64,8 @@
      * lapsed only while the store was away; before now when it was not away.
      */
     Milliseconds lapsesUntil(Milliseconds now) const;
+    /** The last call brought no usable answer. */
+    bool hasFailed() const { return this->failuresInARow > 0; }
     bool isWatching() const { return this->reader.isWatching(); }
     bool isAsking() const { return this->reader.isAsking(); }
     Milliseconds nextAt() const { return this->reader.nextAt(); }
--- a/Tests/Membership/WatchDutyTest.cpp
+++ b/Tests/Membership/WatchDutyTest.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t Instances = 100;
+
 peers::Member member(const std::string& name, std::uint64_t life = 1)
 {
     peers::Member made;
@@ -24,17 +26,20 @@
 struct Case {
     const char* name;
     int others;
+    Milliseconds othersConfirmedAt; // what the others told last, 100 ms ago
     bool isWatching;
     Milliseconds confirmedAt;
     bool watches;
 };
 
 const std::vector<Case> Cases{
-    { "enough others watch", 3, false, { 9800 }, false },
-    { "enough others, but nothing fresh", 3, false, { 8000 }, true },
-    { "nobody watches, just now noticed", 0, false, { 9800 }, false },
-    { "one of few that watch", 2, true, { 9800 }, true },
-    { "nothing was ever heard", 0, false, LongAgo, true },
+    { "enough others watch", 3, { 9900 }, false, { 9800 }, false },
+    { "enough others, but nothing fresh comes through from them", 3, { 9900 }, false, { 8000 }, true },
+    { "the others ask the store in vain", 3, { 8000 }, false, { 8000 }, false },
+    { "the others ask in vain, and this one is of the few", 2, { 8000 }, true, { 8000 }, true },
+    { "nobody watches, just now noticed", 0, { 9900 }, false, { 9800 }, false },
+    { "one of few that watch", 2, { 9900 }, true, { 9800 }, true },
+    { "nothing was ever heard", 0, { 9900 }, false, LongAgo, true },
 };
 
 }
@@ -46,19 +51,19 @@
     for (const Case& item : Cases) {
         WatchDuty duty({ .ownName = "entry-1" });
         for (int other = 0; other < item.others; ++other)
-            duty.heardWatcher(member("other-" + std::to_string(other)), { 9900 }, { 9900 });
-        CHECK_TEXT(duty.shouldWatch(item.isWatching, item.confirmedAt, Fresh) == item.watches, item.name);
+            duty.heardWatcher(member("other-" + std::to_string(other)), item.othersConfirmedAt, { 9900 });
+        CHECK_TEXT(duty.shouldWatch(item.isWatching, item.confirmedAt, Instances, Fresh) == item.watches, item.name);
     }
 }
 
 TEST(WatchDuty, AVacancyIsFilledAfterADelayOfItsOwn)
 {
     WatchDuty duty({ .ownName = "entry-1" });
-    CHECK_FALSE(duty.shouldWatch(false, { 9900 }, Fresh));
+    CHECK_FALSE(duty.shouldWatch(false, { 9900 }, Instances, Fresh));
     const Milliseconds due = duty.nextChange({ 1e9 });
     CHECK(due >= Fresh);
-    CHECK_FALSE(duty.shouldWatch(false, due - Milliseconds{ 1 }, due - Milliseconds{ 1 }));
-    CHECK_TEXT(duty.shouldWatch(false, due, due), "at the very moment that was given");
+    CHECK_FALSE(duty.shouldWatch(false, due - Milliseconds{ 1 }, Instances, due - Milliseconds{ 1 }));
+    CHECK_TEXT(duty.shouldWatch(false, due, Instances, due), "at the very moment that was given");
 }
 
 TEST(WatchDuty, TheMomentOfStalenessIsTheOneThatWasGiven)
@@ -68,10 +73,34 @@
         WatchDuty duty({ .ownName = "entry-7" });
         for (int other = 0; other < 3; ++other)
             duty.heardWatcher(member("other-" + std::to_string(other)), { confirmed }, { confirmed });
-        CHECK_FALSE(duty.shouldWatch(false, { confirmed }, { confirmed }));
+        CHECK_FALSE(duty.shouldWatch(false, { confirmed }, Instances, { confirmed }));
         const Milliseconds due = duty.nextChange({ confirmed });
-        CHECK(duty.shouldWatch(false, { confirmed }, due));
+        CHECK(duty.shouldWatch(false, { confirmed }, Instances, due));
+    }
+}
+
+// A store that turns only the watchers away must be found again by others, by few at a time.
+TEST(WatchDuty, WhileOthersAskInVainEachAsksInItsTurn)
+{
+    constexpr int fleet = 200;
+    constexpr double spanMilliseconds = 20000;
+    constexpr double firstSecond = 11000;
+    int turns = 0;
+    int firstTurns = 0;
+    for (int instance = 0; instance < fleet; ++instance) {
+        WatchDuty duty({ .ownName = "entry-" + std::to_string(instance) });
+        bool isWatching = false;
+        for (double now = 10000; now < 10000 + spanMilliseconds; now += 100) {
+            for (int other = 0; other < 3; ++other)
+                duty.heardWatcher(member("other-" + std::to_string(other)), { 5000 }, { now });
+            const bool watches = duty.shouldWatch(isWatching, { 5000 }, fleet, { now });
+            turns += watches && !isWatching ? 1 : 0;
+            firstTurns += watches && !isWatching && now < firstSecond ? 1 : 0;
+            isWatching = watches;
+        }
     }
+    CHECK_TEXT(firstTurns >= 3 && firstTurns <= 30, "ten a second, from the first one on");
+    CHECK_TEXT(turns >= fleet * 0.9 && turns <= fleet * 1.2, "each once in twenty seconds");
 }
 
 TEST(WatchDuty, OfTooManyOnlyTheLowestRanksStay)
@@ -82,7 +111,7 @@
         WatchDuty duty({ .ownName = name });
         for (const std::string& other : names)
             duty.heardWatcher(member(other), { 9950 }, { 9950 });
-        staying += duty.shouldWatch(true, { 9950 }, Fresh) ? 1 : 0;
+        staying += duty.shouldWatch(true, { 9950 }, Instances, Fresh) ? 1 : 0;
     }
     LONGS_EQUAL(3, staying);
 }
@@ -112,8 +141,8 @@
         strong.heardWatcher(weak(other), { 9900 }, { 9900 });
         alike.heardWatcher(weak(other), { 9900 }, { 9900 });
     }
-    strong.shouldWatch(false, { 9900 }, Fresh);
-    alike.shouldWatch(false, { 9900 }, Fresh);
+    strong.shouldWatch(false, { 9900 }, Instances, Fresh);
+    alike.shouldWatch(false, { 9900 }, Instances, Fresh);
     CHECK_TEXT(strong.nextChange({ 1e9 }) < Milliseconds{ 1e6 }, "it volunteers");
     CHECK_TEXT(alike.nextChange({ 1e9 }) > Milliseconds{ 1e6 }, "there are enough of its kind");
     CHECK_TEXT(strong.leads(Fresh), "it goes before all of them");
@@ -136,6 +165,6 @@
         duty.heardWatcher(member("other-" + std::to_string(other)), { 5000 }, { 5000 });
     LONGS_EQUAL(3, duty.watchers({ 5100 }).size());
     CHECK(duty.watchers(Fresh).empty());
-    duty.shouldWatch(false, Fresh, Fresh);
+    duty.shouldWatch(false, Fresh, Instances, Fresh);
     CHECK(duty.nextChange({ 1e9 }) < Milliseconds{ 1e6 });
 }
--- /dev/null
+++ b/Tests/Node/StoreOutageTest.cpp
@@ -0,0 +1,87 @@
+#include "Tests/Virtual/VirtualFleet.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+/** The store is away for a while, for all or for those that watch it, and a change comes. */
+struct Case {
+    const char* name;
+    std::size_t instances;
+    StoreFault fault; // None: it turns the watchers away
+    Milliseconds lasts;
+    bool changesMeanwhile; // else as it is back
+    Milliseconds knownWithin; // of the change, everywhere
+    double mostCalls; // of an instance in the mean
+};
+
+const std::vector<Case> Cases{
+    { "down", 18, StoreFault::Down, { 8000 }, false, { 3000 }, 7 },
+    { "down, many instances", 120, StoreFault::Down, { 8000 }, false, { 3000 }, 2.5 },
+    { "silent, many instances", 120, StoreFault::Silent, { 8000 }, false, { 4000 }, 2.5 },
+    { "the watchers are turned away", 18, StoreFault::None, { 8000 }, true, { 6000 }, 7 },
+    { "the watchers of many are turned away", 120, StoreFault::None, { 8000 }, true, { 6000 }, 2.5 },
+};
+
+constexpr std::size_t Servers = 20;
+
+bool allKnow(VirtualFleet& fleet, StoreRevision revision)
+{
+    for (std::size_t instance = 0; instance < fleet.size(); ++instance) {
+        if (fleet.node(instance).storeRevision() < revision)
+            return false;
+    }
+    return true;
+}
+
+void setFault(VirtualFleet& fleet, const Case& item, bool begins)
+{
+    if (item.fault != StoreFault::None)
+        return fleet.theStore().setFault(begins ? item.fault : StoreFault::None);
+    for (std::size_t instance = 0; instance < fleet.size(); ++instance) {
+        if (!begins || fleet.node(instance).isWatching())
+            fleet.theStore().setTurnedAway("entry-" + std::to_string(instance + 1), begins);
+    }
+}
+
+void play(const Case& item)
+{
+    VirtualFleet::Options options;
+    options.instances = item.instances;
+    VirtualFleet fleet(options);
+    for (std::size_t server = 0; server < Servers; ++server)
+        fleet.addServer({ .id = "s" + std::to_string(server), .work = { 4 } });
+    fleet.configure(virtualConfiguration(fleet.serverIds(), 1));
+    fleet.startAll();
+    fleet.run({ 12000 });
+    const std::size_t before = fleet.theStore().calls();
+    setFault(fleet, item, true);
+    StoreRevision changed = 0;
+    if (item.changesMeanwhile)
+        changed = fleet.configure(virtualConfiguration(fleet.serverIds(), 2));
+    else {
+        fleet.run(item.lasts);
+        setFault(fleet, item, false);
+        changed = fleet.configure(virtualConfiguration(fleet.serverIds(), 2));
+    }
+    fleet.run(item.knownWithin);
+    CHECK_TEXT(allKnow(fleet, changed), item.name);
+    const auto calls = static_cast<double>(fleet.theStore().calls() - before);
+    CHECK_TEXT(calls <= item.mostCalls * static_cast<double>(item.instances), item.name);
+}
+
+}
+
+TEST_GROUP(StoreOutage){};
+
+TEST(StoreOutage, FewAskWhileItLastsAndAllKnowSoonAfterwards)
+{
+    for (const Case& item : Cases)
+        play(item);
+}
