Let an instance without fresh knowledge volunteer while fewer ask than wanted

Cause: an instance that leaves a store that is away to the watchers was given the moment at which it would volunteer, and did not volunteer then: it looked again at that moment without end.

Test: WatchDuty/WhoeverDoesNotWatchIsGivenALaterMoment fails before, passes after.

--- a/Source/Membership/WatchDuty.cpp
+++ b/Source/Membership/WatchDuty.cpp
@@ -143,8 +143,8 @@
         this->turnAt = Never;
         return true;
     }
-    const Milliseconds round = std::max(
-        Second * (static_cast<double>(instances) / this->options.turnsPerSecond), this->options.staleAfter);
+    const Milliseconds round
+        = std::max(Second * (static_cast<double>(instances) / this->options.turnsPerSecond), this->options.staleAfter);
     if (this->turnAt == Never)
         this->turnAt = now + round * placeOf(this->ownRank.hash);
     if (now >= this->turnAt) {
@@ -165,12 +165,11 @@
         this->vacantSince = Never;
     else if (this->vacantSince == Never)
         this->vacantSince = now;
+    const bool volunteers = isVacant && now >= this->vacantSince + this->volunteerDelay();
     if (this->isStale(confirmedAt, now))
-        return this->shouldAskItself(isWatching, instances, now);
+        return this->shouldAskItself(isWatching, instances, now) || volunteers;
     this->turnAt = Never;
-    if (isWatching)
-        return this->activeOthersBelow(now) < this->options.wanted;
-    return isVacant && now >= this->vacantSince + this->volunteerDelay();
+    return isWatching ? this->activeOthersBelow(now) < this->options.wanted : volunteers;
 }
 
 Milliseconds WatchDuty::nextChange(Milliseconds confirmedAt) const
--- a/Tests/Membership/WatchDutyTest.cpp
+++ b/Tests/Membership/WatchDutyTest.cpp
@@ -1,5 +1,7 @@
 #include "Membership/WatchDuty.h"
 
+#include "Base/Random.h"
+
 #include <string>
 #include <vector>
 
@@ -103,6 +105,32 @@
     CHECK_TEXT(turns >= fleet * 0.9 && turns <= fleet * 1.2, "each once in twenty seconds");
 }
 
+// Else whoever waits for that moment looks again and again without end.
+TEST(WatchDuty, WhoeverDoesNotWatchIsGivenALaterMoment)
+{
+    Random random(7);
+    for (int run = 0; run < 200; ++run) {
+        WatchDuty duty({ .ownName = "entry-" + std::to_string(run) });
+        const auto others = static_cast<int>(random.below(4));
+        Milliseconds confirmedAt{ 10000 };
+        bool isWatching = false;
+        for (Milliseconds now{ 10000 }; now < Milliseconds{ 20000 }; now = now + Milliseconds{ 250 * random.unit() }) {
+            for (int other = 0; other < others; ++other) {
+                const Milliseconds told = now - Milliseconds{ 4000 * random.unit() };
+                if (random.below(3) == 0)
+                    duty.heardWatcher(member("other-" + std::to_string(other)), told, now);
+            }
+            if (random.below(20) == 0)
+                confirmedAt = now;
+            isWatching = duty.shouldWatch(isWatching, confirmedAt, Instances, now);
+            if (isWatching && random.below(2) == 0)
+                duty.askedInVain();
+            isWatching = duty.shouldWatch(isWatching, confirmedAt, Instances, now);
+            CHECK(isWatching || duty.nextChange(confirmedAt) > now);
+        }
+    }
+}
+
 TEST(WatchDuty, OfTooManyOnlyTheLowestRanksStay)
 {
     const std::vector<std::string> names{ "entry-0", "entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6" };
