Let few read the store at a start and tell the others over a tree

Cause: after a loss of all instances each of them read the whole store by itself. 473 readings of half a megabyte take the store's link two seconds, and most instances refused as not ready meanwhile: in one data centre 1,690 requests in the two seconds after the return.

Change: the first reading is due at a drawn moment, of strong instances first. Whoever knows something for the first time says so to the seeds and tells everything to those that said hello and know nothing, over the tree of the news; later ones are told together every 30 ms. A seed that knows nothing asks whoever says that it knows something. A push is packed as a whole, since records are alike. A first reading is one log line, not one a backend server.

--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -33,6 +33,14 @@
     return isNewLife;
 }
 
+void MemberTable::allWereTold(StoreRevision revision)
+{
+    for (KnownMember& known : this->list) {
+        if (!known.revision)
+            known.revision = revision;
+    }
+}
+
 void MemberTable::tick(Milliseconds now)
 {
     std::erase_if(
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -40,6 +40,8 @@
 
     /** True when this life was not known. A life earlier than the known one is ignored. */
     bool heard(const peers::Member& member, StoreRevision revision, Milliseconds now);
+    /** Those that had nothing were told everything through this revision. */
+    void allWereTold(StoreRevision revision);
     /** Forgets the silent ones. */
     void tick(Milliseconds now);
 
--- a/Source/Membership/WatchDuty.h
+++ b/Source/Membership/WatchDuty.h
@@ -65,8 +65,8 @@
      * by others that go before them.
      */
     std::vector<peers::Member> watchers(Milliseconds now) const;
-    /** The best of those that were heard themselves, those with news of the store first. Only they are named to others, or a name would be passed round for
-     * ever. */
+    /** The best of those that were heard themselves, those with news of the store first. Only they are named to others,
+     * or a name would be passed round for ever. */
     std::vector<peers::Member> heardWatchers(Milliseconds now) const;
 
 private:
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -134,6 +134,15 @@
     if (name.empty() || name == this->options.self.incarnation().name())
         return;
     const bool isNew = this->members.heard(member, hello.store_revision(), now);
+    const bool knowsNothing = !hello.store_revision();
+    const StoreRevision own = this->parts.store->view().revision();
+    if (isNew && knowsNothing && own)
+        this->helpAt = std::min(this->helpAt, now + this->options.helpInterval);
+    if (!knowsNothing && !own) {
+        constexpr bool canTell = true;
+        this->pulls.behind(member, hello.store_revision(), canTell, now);
+        this->pull(now, actions);
+    }
     if (this->parts.store->isWatching()) {
         if (isNew)
             this->send(addressOf(member), this->newNews(hello.store_revision(), now), actions);
@@ -146,6 +155,36 @@
         this->send(addressOf(member), std::move(told), actions);
 }
 
+void NewsExchange::viewChanged(Milliseconds now, Actions& actions)
+{
+    if (this->hasView || !this->parts.store->view().revision())
+        return;
+    this->hasView = true;
+    // The seeds are known to all that have just begun as well.
+    this->helloToSeeds(now, actions);
+    this->helpOthers(now, actions);
+}
+
+void NewsExchange::helpOthers(Milliseconds now, Actions& actions)
+{
+    this->helpAt = Never;
+    std::vector<KnownMember> ignorant;
+    for (const KnownMember& known : this->members.members()) {
+        if (!known.revision)
+            ignorant.push_back(known);
+    }
+    if (ignorant.empty())
+        return;
+    peers::PeerMessage message;
+    *message.mutable_push() = this->parts.store->pushOfEverything();
+    message.mutable_push()->set_is_unasked(true);
+    actions.emplace_back(
+        recordOfPush("everything_told", this->options.self.incarnation(), message.push(), *this->parts.store)
+            .with("instances", std::uint64_t{ ignorant.size() }));
+    this->sendOver(firstBranches(ignorant, this->options.tree, now), std::move(message), actions);
+    this->members.allWereTold(this->parts.store->view().revision());
+}
+
 void NewsExchange::watchersReceived(const peers::Watchers& message, Milliseconds now, Actions& actions)
 {
     const bool wasSearching = this->duty.watchers(now).empty();
@@ -193,6 +232,7 @@
     this->asksByThemselves = !this->parts.store->takePush(push, now, actions);
     this->pulls.reached(this->parts.store->view().revision());
     this->pull(now, actions);
+    this->viewChanged(now, actions);
 }
 
 void NewsExchange::newsReceived(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
@@ -393,6 +433,8 @@
         this->helloToSeeds(now, actions);
     if (now >= this->nextStillAsking() && this->parts.store->isWatching())
         this->spread(now, actions);
+    if (now >= this->helpAt)
+        this->helpOthers(now, actions);
     this->pull(now, actions);
     const auto isOver = [now](const InForceCall& call) { return now >= call.giveUp; };
     if (std::any_of(this->inForceCalls.begin(), this->inForceCalls.end(), isOver))
@@ -401,7 +443,7 @@
 
 Milliseconds NewsExchange::nextDue() const
 {
-    Milliseconds due = std::min(this->nextHello, this->pulls.nextDue());
+    Milliseconds due = std::min({ this->nextHello, this->helpAt, this->pulls.nextDue() });
     if (this->parts.store->isWatching())
         due = std::min({ due, this->nextSeeds, this->nextStillAsking() });
     for (const InForceCall& call : this->inForceCalls)
@@ -414,7 +456,8 @@
 {
     // Before the first reading there is nothing to watch from.
     return this->parts.store->view().revision()
-        && this->duty.shouldWatch(this->parts.store->isWatching(), this->parts.store->heardAt(), this->instances(now), now);
+        && this->duty.shouldWatch(
+            this->parts.store->isWatching(), this->parts.store->heardAt(), this->instances(now), now);
 }
 
 std::size_t NewsExchange::instances(Milliseconds now) const
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -40,6 +40,8 @@
          * before others take their knowledge to be old.
          */
         Milliseconds stillAskingInterval{ 1300 };
+        /** Those that have just begun are told together, over a tree: one by one, 473 take a strong link 0.7 s. */
+        Milliseconds helpInterval{ 30 };
         MemberTable::Options members;
         WatchDuty::Options duty;
         NewsTreeOptions tree;
@@ -59,6 +61,8 @@
     bool receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
     /** The store confirmed or changed what is known: everyone should hear. */
     void spread(Milliseconds now, Actions& actions);
+    /** Something may be known here for the first time: those that know nothing should hear. */
+    void viewChanged(Milliseconds now, Actions& actions);
     /** A sign of leaving was heard here: the others should hear at once. */
     void tellSigns(Milliseconds now, Actions& actions);
     void setSeeds(std::vector<NetworkAddress> seeds);
@@ -109,6 +113,8 @@
     void introduceMembers(const peers::Member& watcher, Milliseconds now, Actions& actions) const;
     /** Asks for what is missing, if it is time to. */
     void pull(Milliseconds now, Actions& actions);
+    /** Tells everything to all that said that they know nothing. */
+    void helpOthers(Milliseconds now, Actions& actions);
     Milliseconds searchPause();
     peers::PeerMessage newHello(Milliseconds now) const;
     peers::PeerMessage newNews(StoreRevision since, Milliseconds now);
@@ -131,6 +137,8 @@
     Milliseconds nextHello = LongAgo;
     Milliseconds nextSeeds = LongAgo;
     Milliseconds spreadAt = LongAgo;
+    bool hasView = false; // something is known here
+    Milliseconds helpAt = Never; // others know nothing
     unsigned searches = 0; // in a row without a watcher
     bool asksByThemselves = false; // the last push held values that could not be unpacked
     std::vector<InForceCall> inForceCalls;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -12,6 +12,9 @@
 /** Without news of the store for so long this instance tells that it is not sure of them any more. */
 constexpr Milliseconds StaleSpell{ 3000 };
 
+/** Of changes heard at once; of more, as in a first reading, one line tells how many backend servers came. */
+constexpr std::size_t MostLinesAtOnce = 50;
+
 class DefaultPolicyFactory final : public PolicyFactory {
 public:
     std::unique_ptr<RoutingPolicy> create() const override { return std::make_unique<LoadAwarePolicy>(); }
@@ -34,10 +37,26 @@
     return member;
 }
 
+/**
+ * All that begin together need not read the store at once, since those that
+ * have read tell the others. Strong instances read first and tell quickly: with
+ * a tenth of a processor within a second, a fifth 250 ms, a half 40 ms.
+ */
+Milliseconds firstReadingSpread(std::uint32_t capacity)
+{
+    constexpr Milliseconds longest{ 1000 };
+    constexpr Milliseconds ofWholeProcessor{ 10 };
+    constexpr double percent = 100;
+    constexpr std::uint32_t usual = 20;
+    const double share = (capacity ? capacity : usual) / percent;
+    return std::min(longest, ofWholeProcessor * (1 / (share * share)));
+}
+
 StoreReader::Options readerOf(const Node::Options& options)
 {
     StoreReader::Options reader = options.store;
     reader.prefix = options.translator->watchedPrefix();
+    reader.firstReadingSpread = firstReadingSpread(options.capacity);
     return reader;
 }
 
@@ -176,6 +195,7 @@
         this->news.spread(now, actions);
     if (this->store.hasFailed())
         this->news.askedInVain();
+    this->news.viewChanged(now, actions);
     if (const auto written = this->changes.takeWritten())
         this->store.takeWritten(*written, now, actions);
     this->askStore(now, actions);
@@ -260,12 +280,20 @@
 
 void Node::itemsChanged(std::span<const StoreItem> items, FactSource source, Milliseconds now, Actions& actions)
 {
+    this->hearsMany = items.size() > MostLinesAtOnce;
     for (const StoreItem& item : items) {
         if (item.value.size() < LargeValueBytes)
             this->adopt(*translateItem(*this->options.translator, item, source), now, actions);
         else
             actions.emplace_back(TranslateItem{ .item = item, .source = source });
     }
+    if (this->hearsMany) {
+        actions.emplace_back(beliefOf("items_changed", this->options.name)
+                                 .with("items", std::uint64_t{ items.size() })
+                                 .with("heard_from", nameOf(source))
+                                 .with("backend_servers", std::uint64_t{ this->services.backendServers() }));
+    }
+    this->hearsMany = false;
     this->flow.capacityChanged(now, actions);
 }
 
@@ -316,6 +344,8 @@
 {
     const Milliseconds lapsesUntil = this->store.lapsesUntil(now);
     for (const BackendServerChange& change : this->services.setBackendServers(item.facts, lapsesUntil, now)) {
+        if (this->hearsMany && change.kind == BackendServerChange::Kind::Added)
+            continue;
         actions.emplace_back(this->backendServerChanged(change, now, actions)
                                  .with("revision", item.revision)
                                  .with("heard_from", nameOf(item.source)));
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -112,6 +112,7 @@
     RequestFlow flow;
     ChangeCoordinator changes;
     std::vector<AnswerChange> changeAnswers; // to be given after the event
+    bool hearsMany = false; // items are being adopted that are too many for a line each
     bool wasWatching = false;
     bool wasStale = true;
 };
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -31,7 +31,8 @@
         bool hedges = true;
         bool freshFirst = true; // callers that can still be in time go before those that are late
         unsigned probedServers = 3; // whose figures should be fresh before one choice
-        std::size_t probedAmong = 24; // of the best by what is known; one that may not be asked now gives way to the next
+        std::size_t probedAmong
+            = 24; // of the best by what is known; one that may not be asked now gives way to the next
         Milliseconds figuresFreshFor{ 25 }; // younger figures are not asked for again
         Milliseconds longestAsking{ 14 };
         double waitShare = 0.22; // of the target latency that a request may wait for room
@@ -73,8 +74,8 @@
     static ChoiceWish wishOf(const RequestState& request);
     void askForFigures(RequestState& request, Milliseconds now, Actions& actions);
     /** True when its answer will come; false when the budget does not allow the question. */
-    bool askForFiguresOf(const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now,
-        Actions& actions);
+    bool askForFiguresOf(
+        const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions);
     bool isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const;
     void enqueue(RequestState& request, Milliseconds now, Actions& actions);
     void pump(ServiceState& service, Milliseconds now, Actions& actions);
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -63,6 +63,7 @@
     void sent(const Route& route, const std::string& service);
     std::shared_ptr<ServiceState> byName(std::string_view name) const;
     std::shared_ptr<BackendServerState> backendServer(std::string_view id) const;
+    std::size_t backendServers() const { return this->records.size(); }
     /** Data centres that have backend servers. */
     std::size_t dataCentres() const;
     std::span<const std::shared_ptr<ServiceState>> all() const { return this->services; }
--- a/Source/Node/StoreKeeper.cpp
+++ b/Source/Node/StoreKeeper.cpp
@@ -1,5 +1,7 @@
 #include "Node/StoreKeeper.h"
 
+#include "Store/ValuePacking.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -22,6 +24,9 @@
  */
 constexpr std::size_t MostNewsBytes = 16384;
 
+/** Shorter lists are sent as they are. */
+constexpr std::size_t LeastPackedBytes = 4096;
+
 std::size_t bytesOf(const peers::News& news)
 {
     std::size_t bytes = 0;
@@ -149,10 +154,22 @@
     if (push.store_revision() <= this->storeView.revision())
         return true;
     bool areAllRead = true;
-    const std::vector<StoreItem> items = this->itemsOf(push.items(), areAllRead, actions);
+    peers::ItemList unpacked;
+    if (!push.packed_items().empty()) {
+        const auto plain = unpackValue(push.packed_items(), {}, push.plain_bytes());
+        areAllRead = plain && unpacked.ParseFromString(*plain);
+    }
+    if (!areAllRead) {
+        actions.emplace_back(beliefOf("push_not_unpacked", "store").with("revision", push.store_revision()));
+        return false;
+    }
+    const auto& messages = push.packed_items().empty() ? push.items() : unpacked.items();
+    const std::vector<StoreItem> items = this->itemsOf(messages, areAllRead, actions);
     const bool isGapless = push.base_revision() <= this->storeView.revision();
     const bool isEverything = !push.base_revision() && areAllRead;
     const StoreRevision through = isGapless && areAllRead ? push.store_revision() : this->storeView.revision();
+    if (isEverything)
+        this->readAt = now;
     this->tell(isEverything ? this->storeView.replaceAll(items, through) : this->storeView.applyChanges(items, through),
         FactSource::Push, now, actions);
     return areAllRead;
@@ -163,14 +180,45 @@
     peers::Push push;
     push.set_store_revision(this->storeView.revision());
     const StoreRevision since = pull.store_revision();
-    const auto changes = since ? this->storeView.changesSince(since) : std::nullopt;
-    if (changes)
-        push.set_base_revision(since);
-    for (const StoreItem& item : changes ? *changes : this->storeView.all())
+    if (!since)
+        return this->pushOfEverything();
+    const auto changes = this->storeView.changesSince(since);
+    if (!changes)
+        return this->pushOfEverything();
+    push.set_base_revision(since);
+    for (const StoreItem& item : *changes)
         this->packer.write(item, pull.by_themselves() ? 0 : since, *push.add_items());
+    pack(push);
     return push;
 }
 
+peers::Push StoreKeeper::pushOfEverything()
+{
+    if (this->everything.store_revision() == this->storeView.revision())
+        return this->everything;
+    peers::Push push;
+    push.set_store_revision(this->storeView.revision());
+    for (const StoreItem& item : this->storeView.all())
+        this->packer.write(item, 0, *push.add_items());
+    pack(push);
+    this->everything = push;
+    return push;
+}
+
+void StoreKeeper::pack(peers::Push& push)
+{
+    peers::ItemList list;
+    list.mutable_items()->Swap(push.mutable_items());
+    const std::string plain = list.SerializeAsString();
+    const std::string packed = plain.size() < LeastPackedBytes ? std::string() : packValue(plain, {});
+    if (packed.empty()) {
+        list.mutable_items()->Swap(push.mutable_items());
+        return;
+    }
+    push.set_packed_items(packed);
+    push.set_plain_bytes(static_cast<std::uint32_t>(plain.size()));
+}
+
 peers::Push StoreKeeper::pushAfterNews(const peers::News& news)
 {
     peers::Pull since;
--- a/Source/Node/StoreKeeper.h
+++ b/Source/Node/StoreKeeper.h
@@ -41,10 +41,12 @@
     bool takeNews(const peers::News& news, Milliseconds now, Actions& actions);
     /** An item that was just written from here; other changes up to it may still be unknown. */
     void takeWritten(const StoreItem& item, Milliseconds now, Actions& actions);
-    /** False when a value in it could not be unpacked. */
+    /** False when a value in it could not be unpacked, or all of it. */
     bool takePush(const peers::Push& push, Milliseconds now, Actions& actions);
     /** What an instance that is complete through this revision is missing; everything when that is no longer known. */
     peers::Push pushFor(const peers::Pull& pull);
+    /** Everything, for whoever knows nothing. */
+    peers::Push pushOfEverything();
     /**
      * The changes since a revision, for news; the base is 0 when they are no
      * longer known. Large ones that stay large when packed are left out, and
@@ -75,6 +77,8 @@
     /** Those that can be read; the flag is cleared, and a record made, when one cannot. */
     std::vector<StoreItem> itemsOf(
         const google::protobuf::RepeatedPtrField<peers::Item>& messages, bool& areAllRead, Actions& actions) const;
+    /** Packs a long list of items as a whole: records are alike, 719 of them become a fifth of their size. */
+    static void pack(peers::Push& push);
     void noteConfirmed(Milliseconds at, Milliseconds now);
     /** Nothing was heard of the store for too long; false before the first word. */
     bool isAway(Milliseconds now) const;
@@ -82,6 +86,7 @@
 
     StoreView storeView;
     ItemPacker packer{ this->storeView };
+    peers::Push everything; // as last packed: it is asked for by many in a row
     StoreReader reader;
     StoreListener* listener;
     DecisionCounters* counters;
--- a/Source/Store/StoreReader.cpp
+++ b/Source/Store/StoreReader.cpp
@@ -32,6 +32,10 @@
 std::optional<StoreRequest> StoreReader::next(Milliseconds now, bool shouldWatch)
 {
     this->watching = shouldWatch;
+    if (!this->hasBegun) {
+        this->hasBegun = true;
+        this->pausedUntil = now + this->options.firstReadingSpread * this->random->unit();
+    }
     if (this->pending || now < this->pausedUntil)
         return std::nullopt;
     // Another instance told everything meanwhile.
--- a/Source/Store/StoreReader.h
+++ b/Source/Store/StoreReader.h
@@ -37,6 +37,7 @@
 public:
     struct Options {
         std::string prefix; // of the keys that are watched
+        Milliseconds firstReadingSpread; // drawn from: other instances may tell everything before it is due
         Milliseconds watchWait{ 1200 }; // also how often a quiet store confirms the view
         Milliseconds watchGap{ 150 }; // between changes and the next watch, so that changes in a row come together
         Milliseconds readTimeout{ 800 }; // without a byte; doubled after a silence, up to the longest
@@ -78,6 +79,7 @@
     Milliseconds pausedUntil = LongAgo;
     Milliseconds readPatience; // the time-out of the next reading
     Milliseconds latency; // of the store's answers, as last measured
+    bool hasBegun = false; // the moment of the first reading is drawn
     bool historyLost = false; // everything must be read before the next watch
     bool watching = false;
     std::vector<StoreItem> pages;
--- a/Tests/Node/MutationTest.cpp
+++ b/Tests/Node/MutationTest.cpp
@@ -4,6 +4,7 @@
 #include "KvFactTranslator.h"
 #include "KvStoreWire.h"
 #include "Settings/SettingsReader.h"
+#include "Store/ValuePacking.h"
 #include "StoreClient/OwnStoreWire.h"
 #include "Tests/Virtual/VirtualFleet.h"
 
@@ -59,7 +60,7 @@
 
 std::vector<peers::PeerMessage> messages()
 {
-    std::vector<peers::PeerMessage> made(7);
+    std::vector<peers::PeerMessage> made(8);
     peers::Hello* hello = made[0].mutable_hello();
     *hello->mutable_member() = member(2);
     hello->set_store_revision(9);
@@ -84,6 +85,12 @@
     peers::KnownMember* known = made[5].mutable_members_push()->add_members();
     *known->mutable_member() = member(2);
     *made[6].mutable_watchers()->add_watchers() = member(6);
+    peers::ItemList list;
+    *list.add_items() = *change;
+    const std::string plain = list.SerializeAsString();
+    made[7].mutable_push()->set_store_revision(9);
+    made[7].mutable_push()->set_packed_items(packValue(plain, {}));
+    made[7].mutable_push()->set_plain_bytes(static_cast<std::uint32_t>(plain.size()));
     for (peers::PeerMessage& message : made) {
         message.set_version(PeerProtocolVersion);
         *message.mutable_from() = member(2).incarnation();
@@ -105,12 +112,18 @@
 void giveItem(Node& node, const std::string& key, const std::string& value, Actions& actions)
 {
     node.handle(ControlTimer{}, {}, actions);
+    // The moment of the first reading is drawn; by then it is due.
+    constexpr Milliseconds each{ 1 };
+    constexpr std::size_t longest = 1000;
+    const auto isAsked = [&] { return !actions.empty() && std::holds_alternative<AskStore>(actions.back()); };
+    for (std::size_t count = 0; count < longest && !isAsked(); ++count)
+        node.handle(ControlTimer{}, each * static_cast<double>(count), actions);
     StoreAnswer answer;
     answer.number = std::get<AskStore>(actions.back()).request.number;
     answer.status = StoreStatus::Done;
     answer.at = 3;
     answer.items.push_back({ .key = key, .value = value, .revision = 2, .removed = false });
-    node.handle(StoreAnswered{ .answer = answer }, { 5 }, actions);
+    node.handle(StoreAnswered{ .answer = answer }, { 1005 }, actions);
 }
 
 }
@@ -127,7 +140,7 @@
         Actions actions;
         giveItem(node, OwnConfigurationKey, storedConfiguration(), actions);
         CHECK(node.isReady());
-        Milliseconds now{ 10 };
+        Milliseconds now{ 1010 };
         for (const peers::PeerMessage& message : messages()) {
             peers::PeerMessage read;
             if (read.ParseFromString(mutate(message.SerializeAsString(), this->random)))
--- a/Tests/Node/ReturnOfAllTest.cpp
+++ b/Tests/Node/ReturnOfAllTest.cpp
@@ -1,5 +1,8 @@
+#include "Base/Random.h"
+#include "Tests/Virtual/LineFactTranslator.h"
 #include "Tests/Virtual/VirtualFleet.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -62,10 +65,88 @@
     CHECK_TEXT(fullPrice <= item.instances * PagesOfAReading, item.name);
 }
 
+/** How a fleet of weak instances, with some strong ones or none, is ready again. */
+struct LinkCase {
+    const char* name;
+    std::size_t instances;
+    std::size_t strong;
+    Milliseconds readyWithin; // all of them
+    std::size_t mostReadings; // of the store
+};
+
+const std::vector<LinkCase> LinkCases{
+    { "some are strong", 60, 3, { 600 }, 20 },
+    { "none is strong", 60, 0, { 1100 }, 40 },
+    { "few, and none is strong", 18, 0, { 800 }, 12 },
+};
+
+/** For as many instances as 1,000 Mbit/s are for hundreds, and 20 Mbit/s. */
+constexpr double StoreBytesPerMillisecond = 15000;
+constexpr double WeakBytesPerMillisecond = 2500;
+constexpr std::size_t DocumentBytes = 300000;
+constexpr Milliseconds LookInterval{ 20 };
+
+/** Lines of routes, of which a fifth is random. */
+std::string documentOfRoutes()
+{
+    constexpr std::size_t randomBytes = 400;
+    constexpr std::size_t sameBytes = 1600;
+    constexpr std::size_t letters = 26;
+    Random random(1);
+    std::string text;
+    while (text.size() < DocumentBytes) {
+        text += "route host.example /";
+        for (std::size_t index = 0; index < randomBytes; ++index)
+            text += static_cast<char>('a' + random.below(letters));
+        text += std::string(sameBytes, 'x') + "/\n";
+    }
+    return text;
+}
+
+bool allAreReady(VirtualFleet& fleet)
+{
+    for (std::size_t instance = 0; instance < fleet.size(); ++instance) {
+        if (!fleet.node(instance).isReady())
+            return false;
+    }
+    return true;
+}
+
+void playReturn(const LinkCase& item)
+{
+    VirtualFleet::Options options;
+    options.instances = item.instances;
+    options.strongInstances = item.strong;
+    options.weakCapacity = 10;
+    options.translator = std::make_shared<LineFactTranslator>();
+    options.linkBytesPerMillisecond = WeakBytesPerMillisecond;
+    options.store.linkBytesPerMillisecond = StoreBytesPerMillisecond;
+    options.store.page = 500;
+    VirtualFleet fleet(options);
+    fleet.theStore().put(std::string(LineDocumentKey), documentOfRoutes());
+    for (std::size_t server = 0; server < 40; ++server)
+        fleet.theStore().put("server/s" + std::to_string(server), "ready");
+    fleet.startAll();
+    Milliseconds took;
+    while (!allAreReady(fleet) && took < Milliseconds{ 10000 }) {
+        fleet.run(LookInterval);
+        took = took + LookInterval;
+    }
+    CHECK_TEXT(took <= item.readyWithin, item.name);
+    CHECK_TEXT(fleet.theStore().callsOf(StoreOperation::ReadRange) <= item.mostReadings, item.name);
+}
+
 }
 
 TEST_GROUP(ReturnOfAll){};
 
+// Hundreds that begin together and one store whose answers share a link.
+TEST(ReturnOfAll, FewReadTheStoreAndTellTheOthers)
+{
+    for (const LinkCase& item : LinkCases)
+        playReturn(item);
+}
+
 TEST(ReturnOfAll, EveryInstanceIsCurrentBeforeItMustBe)
 {
     for (const Case& item : Cases)
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -18,8 +18,6 @@
 constexpr std::uint32_t StrongCapacity = 50;
 /** The link of a strong instance against that of any other. */
 constexpr double StrongLink = 20;
-/** The store's answers carry values as text. */
-constexpr double BytesOfTextForOne = 1.34;
 
 template <typename Kind>
 constexpr std::string_view StepName = "";
@@ -143,7 +141,7 @@
     node.retries = this->options.retries;
     node.probesPerSecond = this->options.probesPerSecond;
     node.translator = this->options.translator ? this->options.translator : std::make_shared<OwnFactTranslator>();
-    node.capacity = this->isStrong(instance) ? StrongCapacity : 0;
+    node.capacity = this->isStrong(instance) ? StrongCapacity : this->options.weakCapacity;
     node.changeKey = OwnConfigurationKey;
     node.policies = this->options.policies;
     node.requests = this->options.requests;
@@ -446,11 +444,7 @@
         this->nameOf(instance), action.request, [this, instance, life, answered](const StoreAnswer& answer) {
             if (std::exchange(*answered, true))
                 return;
-            std::size_t bytes = 0;
-            for (const StoreItem& item : answer.items)
-                bytes += item.key.size() + item.value.size();
-            const auto asText = static_cast<std::size_t>(static_cast<double>(bytes) * BytesOfTextForOne);
-            this->receive(instance, life, asText, StoreAnswered{ .answer = answer });
+            this->receive(instance, life, bytesOf(answer), StoreAnswered{ .answer = answer });
         });
     this->time.after(action.request.timeout, [this, instance, life, answered, number = action.request.number] {
         if (std::exchange(*answered, true))
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -47,6 +47,7 @@
         std::shared_ptr<const FactTranslator> translator; // null: the product's own form
         double linkBytesPerMillisecond = 0; // of each instance, each way, one message after another; 0: endless
         Milliseconds translation{ 5 }; // of a large item
+        std::uint32_t weakCapacity = 0; // of the others, in percent of a processor; 0: they do not know
         std::size_t strongInstances = 0; // the first ones: their links and processors are stronger
     };
 
--- a/Tests/Virtual/VirtualStore.cpp
+++ b/Tests/Virtual/VirtualStore.cpp
@@ -8,9 +8,19 @@
 namespace {
 
 constexpr Milliseconds SlowLatency{ 500 };
+/** The store's answers carry values as text. */
+constexpr double BytesOfTextForOne = 1.34;
 
 }
 
+std::size_t bytesOf(const StoreAnswer& answer)
+{
+    std::size_t bytes = 0;
+    for (const StoreItem& item : answer.items)
+        bytes += item.key.size() + item.value.size();
+    return static_cast<std::size_t>(static_cast<double>(bytes) * BytesOfTextForOne);
+}
+
 VirtualStore::VirtualStore(Options givenOptions, VirtualTime& givenTime)
     : options(givenOptions)
     , time(&givenTime)
@@ -20,7 +30,18 @@
 void VirtualStore::reply(const Answer& answer, StoreAnswer given)
 {
     const Milliseconds latency = this->fault == StoreFault::Slow ? SlowLatency : this->options.latency;
-    this->time->after(latency * 0.5, [answer, given = std::move(given)] { answer(given); });
+    const Milliseconds sent = this->throughLink(bytesOf(given));
+    this->time->after(latency * 0.5 + sent, [answer, given = std::move(given)] { answer(given); });
+}
+
+Milliseconds VirtualStore::throughLink(std::size_t bytes)
+{
+    if (this->options.linkBytesPerMillisecond <= 0)
+        return {};
+    const Milliseconds now = this->time->now();
+    const Milliseconds span{ static_cast<double>(bytes) / this->options.linkBytesPerMillisecond };
+    this->linkBusyUntil = std::max(this->linkBusyUntil, now) + span;
+    return this->linkBusyUntil - now;
 }
 
 void VirtualStore::call(const std::string& instance, const StoreRequest& request, Answer answer)
--- a/Tests/Virtual/VirtualStore.h
+++ b/Tests/Virtual/VirtualStore.h
@@ -13,6 +13,9 @@
 
 namespace burlreach {
 
+/** Of an answer, with values as text. */
+std::size_t bytesOf(const StoreAnswer& answer);
+
 /** What is wrong with the store. */
 enum class StoreFault {
     None,
@@ -34,6 +37,7 @@
     struct Options {
         Milliseconds latency{ 4 };
         std::size_t page = 50;
+        double linkBytesPerMillisecond = 0; // that all answers share, one after another; 0: endless
         Milliseconds staleBehind; // how old an answer is that may be stale
     };
 
@@ -82,6 +86,8 @@
     void wakeWatches();
     void note(const StoreItem& item);
     void reply(const Answer& answer, StoreAnswer given);
+    /** From now on, until so many bytes are through the store's link behind all before them. */
+    Milliseconds throughLink(std::size_t bytes);
 
     Options options;
     VirtualTime* time;
@@ -94,6 +100,7 @@
     std::set<std::string> turnedAway;
     std::vector<Waiting> watches;
     std::uint64_t lastWatch = 0;
+    Milliseconds linkBusyUntil = LongAgo;
     std::size_t callCount = 0;
     std::size_t staleCount = 0;
     std::map<StoreOperation, std::size_t> byOperation{ { StoreOperation::ReadRange, 0 }, { StoreOperation::Watch, 0 },
