--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -161,7 +161,7 @@
 }
 
 bool RequestFlow::askForFiguresOf(
-    const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions)
+    const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions) const
 {
     const ServiceDescription& service = request.service->description;
     auto probe = this->parts.probes->start(server, service.probePath, service.probeShare, now);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -75,8 +75,8 @@
     static ChoiceWish wishOf(const RequestState& request);
     void askForFigures(RequestState& request, Milliseconds now, Actions& actions);
     /** True when its answer will come; false when the budget does not allow the question. */
-    bool askForFiguresOf(
-        const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions);
+    bool askForFiguresOf(const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now,
+        Actions& actions) const;
     bool isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const;
     void enqueue(RequestState& request, Milliseconds now, Actions& actions);
     void pump(ServiceState& service, Milliseconds now, Actions& actions);
