Measure many instances with few requests each from the first one on

A benchmark case: 150 instances, 40 servers with noisy neighbours, 0.45 of what these can do; no request goes before those that are counted.

--- a/Benchmarks/PolicyRun.cpp
+++ b/Benchmarks/PolicyRun.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t Servers = 10;
 constexpr double OverloadShare = 1.5;
 constexpr double HalfLoad = 0.5;
 constexpr Milliseconds WarmUp{ 2000 };
@@ -37,6 +36,7 @@
     "crowded-outage",
     "crowded-loss",
     "crowded-overload",
+    "many-instances",
 };
 
 /** Work of several noisy spells; a full server answers fewer requests than one with a slot or two free. */
@@ -54,6 +54,17 @@
     .isNoisy = true,
     .isCrowded = true };
 
+/** Each instance sees two requests a second; a server's budget leaves each of them one probe a second. */
+constexpr PolicyScene Many{ .instances = 150,
+    .servers = 40,
+    .work = { 150 },
+    .load = 0.45,
+    .target = { 400 },
+    .timeLeft = { 3000 },
+    .isNoisy = true,
+    .isFromFirst = true,
+    .isCrowded = true };
+
 PolicyScene sceneOf(Disturbance disturbance)
 {
     PolicyScene scene;
@@ -75,6 +86,8 @@
     case Disturbance::CrowdedRush:
     case Disturbance::CrowdedOutage:
         return Crowded;
+    case Disturbance::ManyInstances:
+        return Many;
     default:
         return scene;
     }
@@ -86,7 +99,7 @@
     const double noise = scene.isCrowded ? 1 - NoiseShare + NoiseShare / NoiseFactor : 1;
     const double below = std::floor(static_cast<double>(scene.slots) * scene.kneeUse);
     const double best = std::max(below, static_cast<double>(scene.slots) / scene.kneeFactor);
-    return Servers * best * noise * (Second / scene.work);
+    return static_cast<double>(scene.servers) * best * noise * (Second / scene.work);
 }
 
 VirtualFleet::Options fleetOptions(const PolicyScene& scene, const Contender& contender, std::uint64_t seed)
@@ -113,7 +126,7 @@
     , fleet(fleetOptions(this->scene, contender, seed))
     , requestsPerSecond(capacityOf(this->scene) * this->scene.load)
 {
-    for (std::size_t server = 0; server < Servers; ++server)
+    for (std::size_t server = 0; server < this->scene.servers; ++server)
         this->fleet.addServer({ .id = "s" + std::to_string(server),
             .slots = this->scene.slots,
             .work = this->scene.work,
@@ -243,8 +256,11 @@
     this->fleet.run(WarmUp * 0.5);
     if (this->scene.isNoisy)
         this->changeNoise();
-    this->arrive();
+    if (!this->scene.isFromFirst)
+        this->arrive();
     this->fleet.run(WarmUp * 0.5);
+    if (this->scene.isFromFirst)
+        this->arrive();
     this->disturb();
     this->fleet.run(Measured);
     return this->figures();
--- a/Benchmarks/PolicyRun.h
+++ b/Benchmarks/PolicyRun.h
@@ -26,6 +26,7 @@
     CrowdedOutage, // the same servers; all instances are gone for a while
     CrowdedLoss, // the same servers at half load; four of ten say nothing any more
     CrowdedOverload, // the same servers, half as much again as they can do
+    ManyInstances, // hundreds with few requests each, counted from the very first one
     Count
 };
 
@@ -44,6 +45,7 @@
 /** The fleet and its load in one case. */
 struct PolicyScene {
     std::size_t instances = 6;
+    std::size_t servers = 10;
     std::size_t slots = 3;
     Milliseconds work{ 60 };
     double kneeUse = 1; // of a server's slots; with more taken work is slower there
@@ -55,10 +57,11 @@
     Milliseconds timeLeft{ 1000 };
     unsigned returns = 0; // times that a caller comes back after a refusal or a cut
     bool isNoisy = false;
+    bool isFromFirst = false; // no request goes before those that are counted
     bool isCrowded = false; // requests feel it at once when their server becomes slower
 };
 
-/** Instances before ten backend servers, in virtual time: one case, one contender, one seed. */
+/** Instances before backend servers, in virtual time: one case, one contender, one seed. */
 class PolicyRun {
 public:
     PolicyRun(Disturbance disturbance, const Contender& contender, std::uint64_t seed);
