Planned stop: end the listening last

Ruled out: an accept loop without a gap, which the system does not offer.

Change: while requests under way end, late callers are still accepted and served. A connection that comes up at that very end can still be reset unread, which its caller may try again.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/** A session that was idle for less may have a request on its way. */
+/** A session that was idle for less may have a request on its way; after a longer pause no caller is about to connect.
+ */
 constexpr Milliseconds ShortestRest{ 200 };
 
 }
@@ -64,6 +65,7 @@
         std::move(socket), ++this->lastNumber, *this->handler, *this->clock, this->limits);
     if (this->closesAfterAnswers)
         session->closeAfterAnswer();
+    this->acceptedAt = this->clock->now();
     this->open.emplace(session->number(), session);
     session->start();
 }
@@ -106,6 +108,11 @@
     }
 }
 
+bool HttpListener::isSought() const
+{
+    return this->acceptor.is_open() && this->clock->now() - this->acceptedAt < ShortestRest;
+}
+
 std::size_t HttpListener::unfinished() const
 {
     std::size_t count = 0;
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -34,6 +34,8 @@
     void tend();
     /** Sessions whose answer is awaited or not yet written whole, and those that may just be sending. */
     std::size_t unfinished() const;
+    /** A caller connected a moment ago, and another one may be about to. */
+    bool isSought() const;
     std::size_t sessions() const { return this->open.size(); }
     std::uint64_t refusedSessions() const { return this->refused; }
 
@@ -50,6 +52,7 @@
     std::size_t mostSessions = 4000;
     std::uint64_t lastNumber = 0;
     std::uint64_t refused = 0;
+    Milliseconds acceptedAt = LongAgo; // the newest session
     bool closesAfterAnswers = false;
     bool isAccepting = false;
     std::unordered_map<std::uint64_t, std::weak_ptr<HttpSession>> open;
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -3,6 +3,7 @@
 #include "Base/ChronoDuration.h"
 #include "Program/ConfigurationView.h"
 #include "Program/EarlySignals.h"
+#include "Program/ListenerStop.h"
 #include "Program/MetricsText.h"
 
 #include <algorithm>
@@ -304,30 +305,25 @@
     this->stop.begin(this->clock.now());
     this->log.write(Severity::Info, "stopping", "\"bound\":" + std::to_string(this->settings.stopBound.count));
     this->post(StopAsked{});
-    this->traffic.run([this] { this->traffic.requestDesk().sessions().closeAfterAnswers(); });
+    this->traffic.run([this] { takeStopStep(this->traffic.requestDesk().sessions(), StopSequence::Step::Announced); });
     this->scheduleTending();
 }
 
 void Instance::advanceStop()
 {
-    const StopSequence::Step before = this->stop.step();
     // The number of the count is read before the count itself, which may only be newer.
     const std::uint64_t look = this->countedLook;
     const std::size_t unfinished = this->metrics.openRequests + this->metrics.unfinishedAnswers;
-    const StopSequence::Step after = this->stop.advance({ .unfinished = unfinished, .look = look }, this->clock.now());
-    if (before == StopSequence::Step::Announced && after == StopSequence::Step::Draining) {
-        this->traffic.run([this] { this->traffic.requestDesk().sessions().stopAccepting(); });
-    }
-    if (after == StopSequence::Step::Draining)
-        this->traffic.run([this] { this->traffic.requestDesk().sessions().closeIdle(); });
-    if (after == StopSequence::Step::None)
+    const StopSequence::Step step = this->stop.advance({ .unfinished = unfinished, .look = look }, this->clock.now());
+    if (step == StopSequence::Step::None)
         return;
     // For the next look: an answer that is still being written is work, too.
-    this->traffic.run([this, number = this->stop.look()] {
-        this->metrics.unfinishedAnswers = this->traffic.requestDesk().sessions().unfinished();
+    this->traffic.run([this, step, number = this->stop.look()] {
+        takeStopStep(this->traffic.requestDesk().sessions(), step);
+        this->metrics.unfinishedAnswers = workLeftFor(this->traffic.requestDesk().sessions());
         this->countedLook = number;
     });
-    if (after != StopSequence::Step::Ended)
+    if (step != StopSequence::Step::Ended)
         return;
     if (unfinished)
         this->log.warning("The bound of the stop is reached; what is left ends now.");
--- /dev/null
+++ b/Source/Program/ListenerStop.cpp
@@ -0,0 +1,26 @@
+#include "Program/ListenerStop.h"
+
+namespace burlreach {
+
+void takeStopStep(HttpListener& listener, StopSequence::Step step)
+{
+    switch (step) {
+    case StopSequence::Step::None:
+        return;
+    case StopSequence::Step::Announced:
+        return listener.closeAfterAnswers();
+    case StopSequence::Step::Closing:
+        listener.stopAccepting();
+        [[fallthrough]];
+    case StopSequence::Step::Draining:
+    case StopSequence::Step::Ended:
+        return listener.closeIdle();
+    }
+}
+
+std::size_t workLeftFor(const HttpListener& listener)
+{
+    return listener.unfinished() + (listener.isSought() ? 1 : 0);
+}
+
+}
--- a/Source/Program/StopSequence.h
+++ b/Source/Program/StopSequence.h
@@ -9,15 +9,19 @@
 
 /**
  * The steps of a planned stop. First nobody new should be sent here while what
- * comes is still served; then nothing new is taken and what is under way ends;
- * then the process ends, at the latest at the bound.
+ * comes is still served; then what is under way ends, and late callers are
+ * still served; when nobody has come for a moment the listening ends, and then
+ * the process, at the latest at the bound.
+ *
+ * The listening ends last, since its end resets callers that connect just then.
  */
 class StopSequence {
 public:
     enum class Step {
         None,
         Announced, // not ready any more; new requests are still served
-        Draining, // no new connections; requests under way end
+        Draining, // requests under way end; those of late callers are still served
+        Closing, // no new connections; what came with the last ones ends
         Ended
     };
 
@@ -36,9 +40,9 @@
 
     void begin(Milliseconds now);
     /**
-     * The step at this time. Until the bound the process ends only when nothing
-     * is left by a count that was asked for at the look before, after the one
-     * that began the draining: an older count says nothing of what a late
+     * The step at this time. Until the bound a step of the end is over only when
+     * nothing is left by a count that was asked for at the look before, after
+     * the one that began the step: an older count says nothing of what a late
      * thread has accepted since.
      */
     Step advance(const CountedWork& work, Milliseconds now);
@@ -47,11 +51,15 @@
     std::uint64_t look() const { return this->looks; }
 
 private:
+    void enter(Step next);
+    /** Callers that come without end do not keep the listening open for ever. */
+    bool mustClose(Milliseconds since) const;
+
     Options options;
     Step current = Step::None;
     Milliseconds began;
     std::uint64_t looks = 0;
-    std::uint64_t drainingSince = 0; // the look that began it
+    std::uint64_t stepSince = 0; // the look that began the present step
 };
 
 }
--- a/Tests/Http/HttpListenerTest.cpp
+++ b/Tests/Http/HttpListenerTest.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpListener.h"
 #include "Base/SteadyClock.h"
+#include "Program/ListenerStop.h"
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -103,6 +104,92 @@
     std::vector<std::thread> threads;
 };
 
+/**
+ * Callers that connect and send without waiting for an answer: they never stand
+ * still while the listener looks at those that wait.
+ */
+class Rush {
+public:
+    Rush(std::uint16_t givenPort, std::size_t threads)
+        : port(givenPort)
+    {
+        for (std::size_t index = 0; index < threads; ++index)
+            this->threads.emplace_back([this] { this->run(); });
+    }
+
+    ~Rush() { this->stop(); }
+    Rush(const Rush&) = delete;
+    Rush& operator=(const Rush&) = delete;
+
+    void begin() { this->isBegun = true; }
+    /** No further callers; those that have sent wait for their answers. */
+    void cease() { this->isOver = true; }
+
+    void stop()
+    {
+        this->cease();
+        for (std::thread& thread : this->threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+
+    std::size_t answered() const { return this->answers; }
+    /** Connections that came up and ended, or said nothing for the patience, without an answer. */
+    std::size_t lost() const { return this->losses; }
+
+private:
+    static constexpr std::size_t MostOfOne = 700;
+    static constexpr timeval Patience{ .tv_sec = 5, .tv_usec = 0 };
+
+    /** Allocates nothing: the runner's leak check is for one thread. */
+    void run()
+    {
+        std::array<int, MostOfOne> handles{};
+        std::size_t count = 0;
+        while (!this->isOver && count < MostOfOne) {
+            if (!this->isBegun)
+                continue;
+            const int handle = this->connectAndSend();
+            if (handle >= 0)
+                handles.at(count++) = handle;
+        }
+        for (std::size_t index = 0; index < count; ++index) {
+            std::array<char, 256> buffer{};
+            const bool isAnswered = recv(handles.at(index), buffer.data(), buffer.size(), 0) > 0;
+            ++(isAnswered ? this->answers : this->losses);
+            close(handles.at(index));
+        }
+    }
+
+    /** Negative when the connection did not come up, which is no loss. */
+    int connectAndSend() const
+    {
+        const int handle = socket(AF_INET, SOCK_STREAM, 0);
+        if (handle < 0)
+            return handle;
+        setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &Patience, sizeof Patience);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(this->port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (connect(handle, reinterpret_cast<const sockaddr*>(&address), sizeof address)) {
+            close(handle);
+            return -1;
+        }
+        constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        send(handle, request.data(), request.size(), MSG_NOSIGNAL);
+        return handle;
+    }
+
+    std::uint16_t port;
+    std::atomic<bool> isBegun{ false };
+    std::atomic<bool> isOver{ false };
+    std::atomic<std::size_t> answers{ 0 };
+    std::atomic<std::size_t> losses{ 0 };
+    std::vector<std::thread> threads;
+};
+
 std::uint16_t freePort()
 {
     asio::io_context context;
@@ -147,3 +234,47 @@
     CHECK(answered > 1000);
     LONGS_EQUAL(0, lost);
 }
+
+// The soak, beside a busy machine: a caller connected 10 ms after the lead of a
+// planned stop, and its connection was reset unread. As long as callers come,
+// the listening goes on.
+TEST(HttpListener, APlannedStopResetsNoCallerThatComesLate)
+{
+    constexpr int rounds = 20;
+    constexpr std::size_t threads = 4;
+    constexpr std::chrono::milliseconds lookInterval(2);
+    constexpr Milliseconds lead{ 40 };
+    constexpr Milliseconds callersComeFrom{ 36 };
+    constexpr Milliseconds callersComeUntil{ 60 };
+    std::size_t answered = 0;
+    std::size_t lost = 0;
+    for (int round = 0; round < rounds; ++round) {
+        asio::io_context context;
+        const SteadyClock clock;
+        AnsweringHandler handler;
+        HttpListener listener(context, handler, clock);
+        const std::uint16_t port = freePort();
+        CHECK(!listener.listen({ .host = "127.0.0.1", .port = port }));
+        listener.beginAccepting();
+        Rush rush(port, threads);
+        StopSequence stop({ .lead = lead, .bound = { 20000 } });
+        const Milliseconds began = clock.now();
+        stop.begin(began);
+        StopSequence::CountedWork work;
+        while (stop.advance(work, clock.now()) != StopSequence::Step::Ended) {
+            takeStopStep(listener, stop.step());
+            work = { .unfinished = workLeftFor(listener), .look = stop.look() };
+            if (clock.now() - began >= callersComeFrom)
+                rush.begin();
+            if (clock.now() - began >= callersComeUntil)
+                rush.cease();
+            context.restart();
+            context.run_for(lookInterval);
+        }
+        rush.stop();
+        answered += rush.answered();
+        lost += rush.lost();
+    }
+    CHECK(answered > 1000);
+    LONGS_EQUAL(0, lost);
+}
