--- a/Source/Admission/ComeBackTime.cpp
+++ b/Source/Admission/ComeBackTime.cpp
@@ -21,7 +21,7 @@
 
 Milliseconds comeBackAfter(RefusalReason reason, Milliseconds targetLatency, double random)
 {
-    if (reason == RefusalReason::NoBackendServer)
+    if (reason == RefusalReason::NoBackendServer || reason == RefusalReason::DataCentreEmptied)
         return UsualComeBack;
     const double share = reason == RefusalReason::BackendServersRefused ? SoonShare : 1;
     return std::clamp(targetLatency * (share * (1 + random)), Shortest, Longest);
--- /dev/null
+++ b/Source/Base/DealtBudget.cpp
@@ -0,0 +1,33 @@
+#include "Base/DealtBudget.h"
+
+#include <cmath>
+
+namespace burlreach {
+
+DealtBudget::Allowance& DealtBudget::current(const std::string& key, const Part& part, Random& random, Milliseconds now)
+{
+    Allowance& allowance = this->allowances[key];
+    if (now < allowance.until)
+        return allowance;
+    const double dealt = part.perSecond * (part.window / Second);
+    const double whole = std::floor(dealt);
+    const bool hasOneMore = random.unit() < dealt - whole;
+    allowance = { .left = static_cast<unsigned>(whole) + (hasOneMore ? 1 : 0), .until = now + part.window };
+    return allowance;
+}
+
+bool DealtBudget::has(const std::string& key, const Part& part, Random& random, Milliseconds now)
+{
+    return this->current(key, part, random, now).left > 0;
+}
+
+bool DealtBudget::take(const std::string& key, const Part& part, Random& random, Milliseconds now)
+{
+    Allowance& allowance = this->current(key, part, random, now);
+    if (!allowance.left)
+        return false;
+    --allowance.left;
+    return true;
+}
+
+}
--- a/Source/Configuration/BackendServerRecord.h
+++ b/Source/Configuration/BackendServerRecord.h
@@ -4,13 +4,15 @@
 #include "Base/NetworkAddress.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace burlreach {
 
 /** One life of a backend server as the store describes it. */
 struct BackendServerRecord {
-    std::string id; // names this life; a restart has another one
+    std::string id;
+    std::uint64_t life = 0; // begun anew under the same id it has a higher number; 0: its lives are not told apart
     std::string service;
     NetworkAddress address;
     std::string dataCentre;
--- a/Source/Configuration/ChangeApplier.cpp
+++ b/Source/Configuration/ChangeApplier.cpp
@@ -78,6 +78,8 @@
         return this->removeRule(request.remove_request_rule());
     case v1::ChangeRequest::kSetLimits:
         return this->setLimits(request.set_limits());
+    case v1::ChangeRequest::kEmptyDataCentre:
+        return this->emptyDataCentre(request.empty_data_centre());
     case v1::ChangeRequest::CHANGE_NOT_SET:
         break;
     }
@@ -188,4 +190,23 @@
         *service->mutable_limits() = change.limits();
 }
 
+void ChangeApplier::emptyDataCentre(const v1::EmptyDataCentre& change)
+{
+    const std::string& name = change.data_centre();
+    const auto isThere = [&](const v1::BackendServer& server) { return server.data_centre() == name; };
+    const auto& services = this->result.configuration.services();
+    const bool isKnown = std::any_of(services.begin(), services.end(), [&](const v1::Service& service) {
+        return std::any_of(service.backend_servers().begin(), service.backend_servers().end(), isThere);
+    });
+    auto& emptied = *this->result.configuration.mutable_emptied_data_centres();
+    const auto found = std::find(emptied.begin(), emptied.end(), name);
+    if (change.emptied() && !isKnown)
+        this->result.findings.add("/data_centre",
+            "no backend server stands in \"" + name + "\"; write the data centre as the backend servers name it");
+    else if (change.emptied() && found == emptied.end())
+        *emptied.Add() = name;
+    else if (!change.emptied() && found != emptied.end())
+        emptied.erase(found);
+}
+
 }
--- a/Source/Configuration/ChangeApplier.h
+++ b/Source/Configuration/ChangeApplier.h
@@ -29,6 +29,7 @@
     void setRule(const v1::SetRequestRule& change);
     void removeRule(const v1::RemoveRequestRule& change);
     void setLimits(const v1::SetLimits& change);
+    void emptyDataCentre(const v1::EmptyDataCentre& change);
     v1::Service* findService(const std::string& name);
     v1::BackendServer* findBackendServer(v1::Service& service, const std::string& name);
 
--- a/Source/Configuration/ConfigurationChecker.cpp
+++ b/Source/Configuration/ConfigurationChecker.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t MaximumPercent = 100;
 constexpr std::size_t MaximumProbeBudget = 1000;
 constexpr std::size_t MaximumBodyBytes = 67108864;
+constexpr std::size_t MaximumColdRate = 100000;
 constexpr std::size_t MaximumPathLength = 1024;
 
 bool isNameCharacter(char character)
@@ -61,6 +62,7 @@
                     place + "/hosts", "\"" + host + "\" belongs to a service already; remove it there first");
         }
     }
+    this->checkEmptiedDataCentres(configuration);
     if (configuration.ByteSizeLong() > MaximumConfigurationBytes)
         this->findings.add("/",
             "is larger than " + std::to_string(MaximumConfigurationBytes)
@@ -68,6 +70,18 @@
     return this->findings;
 }
 
+void ConfigurationChecker::checkEmptiedDataCentres(const v1::Configuration& configuration)
+{
+    std::set<std::string_view> names;
+    for (int index = 0; index < configuration.emptied_data_centres_size(); ++index) {
+        const std::string& name = configuration.emptied_data_centres(index);
+        const std::string place = indexed("/emptied_data_centres", index);
+        this->checkName(name, place);
+        if (!names.insert(name).second)
+            this->findings.add(place, "\"" + name + "\" is there already; name each data centre once");
+    }
+}
+
 void ConfigurationChecker::checkService(const v1::Service& service, const std::string& place)
 {
     this->checkName(service.name(), place + "/name");
@@ -150,6 +164,8 @@
     this->checkAtMost(limits.retry_percent(), MaximumPercent, place + "/retry_percent");
     this->checkAtMost(limits.probe_budget_milliseconds(), MaximumProbeBudget, place + "/probe_budget_milliseconds");
     this->checkAtMost(limits.maximum_body_bytes(), MaximumBodyBytes, place + "/maximum_body_bytes");
+    this->checkAtMost(limits.cold_requests_per_second(), MaximumColdRate, place + "/cold_requests_per_second");
+    this->checkAtMost(limits.cold_start_milliseconds(), MaximumDeadline, place + "/cold_start_milliseconds");
 }
 
 void ConfigurationChecker::checkName(std::string_view name, const std::string& place)
--- a/Source/Configuration/ConfigurationChecker.h
+++ b/Source/Configuration/ConfigurationChecker.h
@@ -18,6 +18,7 @@
     Findings check(const v1::Configuration& configuration);
 
 private:
+    void checkEmptiedDataCentres(const v1::Configuration& configuration);
     void checkService(const v1::Service& service, const std::string& place);
     void checkHosts(const v1::Service& service, const std::string& place);
     void checkBackendServers(const v1::Service& service, const std::string& place);
--- a/Source/Configuration/FactTranslator.h
+++ b/Source/Configuration/FactTranslator.h
@@ -11,12 +11,21 @@
 
 namespace burlreach {
 
+/** What operators want of the backend servers of a data centre. */
+struct DataCentreOrder {
+    std::string dataCentre;
+    bool emptied = false; // they get nothing new
+};
+
 /** What an item of the store says. */
 struct Facts {
     std::optional<RoutingConfiguration> configuration;
     std::vector<BackendServerRecord> backendServers; // new or changed
     std::vector<std::string> goneBackendServers; // ids
     bool areAllBackendServers = false; // those not named are gone
+    std::vector<std::string> unusableBackendServers; // ids whose records cannot be read; not to be used any more
+    std::vector<DataCentreOrder> dataCentres; // new or changed
+    bool areAllDataCentres = false; // those not named are in use
     Findings findings; // why the item could not be read; it is ignored then
 };
 
--- a/Source/Configuration/OwnFactTranslator.cpp
+++ b/Source/Configuration/OwnFactTranslator.cpp
@@ -75,6 +75,8 @@
         description.retryShare = limits.retry_percent() / Hundred;
     if (limits.probe_budget_milliseconds())
         description.probeShare = std::min(1.0, limits.probe_budget_milliseconds() / UsualProbeBudget);
+    description.coldRequestsPerSecond = limits.cold_requests_per_second();
+    description.coldStart = { static_cast<double>(limits.cold_start_milliseconds()) };
     return description;
 }
 
@@ -84,6 +86,7 @@
     record.address = { .host = server.address(), .port = static_cast<std::uint16_t>(server.port()) };
     // A moved backend server is another life.
     record.id = service.name() + "/" + server.name() + "@" + record.address.text();
+    record.life = server.life();
     record.service = service.name();
     record.dataCentre = server.data_centre();
     if (server.slots())
@@ -100,6 +103,9 @@
     facts.areAllBackendServers = true;
     RoutingConfiguration& routing = facts.configuration.emplace();
     routing.version = configuration.revision();
+    facts.areAllDataCentres = true;
+    for (const std::string& dataCentre : configuration.emptied_data_centres())
+        facts.dataCentres.push_back({ .dataCentre = dataCentre, .emptied = true });
     for (const v1::Service& service : configuration.services()) {
         routing.services.push_back(describe(service));
         for (const std::string& host : service.hosts()) {
--- a/Source/Configuration/RoutingConfiguration.h
+++ b/Source/Configuration/RoutingConfiguration.h
@@ -43,6 +43,8 @@
     std::size_t queueLength = 200; // requests waiting at one instance
     double retryShare = 1; // of the fleet's share of retries; less for a service that wants fewer
     double probeShare = 1; // of the probes that the settings allow
+    double coldRequestsPerSecond = 0; // that a cold backend server bears, from all instances together; 0: no bound
+    Milliseconds coldStart; // for so long it is cold after a pause
 };
 
 /** What callers may send, and how long they may take. */
--- a/Source/Measurement/ProbeDesk.cpp
+++ b/Source/Measurement/ProbeDesk.cpp
@@ -56,18 +56,13 @@
     const double part = this->partOf(server, share);
     if (part <= 0)
         return false;
-    Allowance& allowance = this->allowances[server.id()];
-    if (now >= allowance.until) {
-        const Milliseconds window = windowFor(part);
-        const double dealt = part * (window / Second);
-        const double whole = std::floor(dealt);
-        const bool hasOneMore = this->random->unit() < dealt - whole;
-        allowance = { .left = static_cast<unsigned>(whole) + (hasOneMore ? 1 : 0), .until = now + window };
-    }
-    if (!allowance.left)
-        return false;
-    --allowance.left;
-    return true;
+    return this->budget.take(server.id(), { .perSecond = part, .window = windowFor(part) }, *this->random, now);
+}
+
+void ProbeDesk::forget(const std::string& backendServer)
+{
+    this->budget.forget(backendServer);
+    this->underWay.erase(backendServer);
 }
 
 std::optional<Probe> ProbeDesk::start(
@@ -92,7 +87,9 @@
         return nullptr;
     std::shared_ptr<BackendServerState> server = found->second;
     this->asked.erase(found);
-    this->underWay.erase(server->id());
+    const auto latest = this->underWay.find(server->id());
+    if (latest != this->underWay.end() && latest->second == number)
+        this->underWay.erase(latest);
     return server;
 }
 
--- a/Source/Measurement/ProbeDesk.h
+++ b/Source/Measurement/ProbeDesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/DealtBudget.h"
 #include "Base/Milliseconds.h"
 #include "Base/NetworkAddress.h"
 #include "Base/Random.h"
@@ -31,6 +32,7 @@
     bool isOtherServer = false; // another backend server has the address now
     std::optional<LoadFigures> load;
     std::optional<bool> leaving;
+    std::optional<Milliseconds> coldRemaining; // as it told; zero: it is warm
 };
 
 /**
@@ -43,11 +45,7 @@
  * twice at the same time; who needs its answer waits for the one that is under
  * way.
  *
- * An instance's part may be far less than a probe a second. It is dealt in
- * windows: for each server and window a draw says how many probes may be sent,
- * and what is not used is gone. So a part of the servers can be asked at any
- * moment, from the first one on, and instances that start or wake together do
- * not spend at once what each of them saved up.
+ * An instance's part may be far less than a probe a second; see DealtBudget.
  */
 class ProbeDesk {
 public:
@@ -70,15 +68,10 @@
     bool isUnderWay(const std::string& backendServer) const { return this->underWay.contains(backendServer); }
     /** The server that the probe asked; null when it was not sent from here. */
     std::shared_ptr<BackendServerState> ended(ProbeNumber number);
-    void forget(const std::string& backendServer) { this->allowances.erase(backendServer); }
+    /** The server is gone or began anew: nothing is awaited of it. */
+    void forget(const std::string& backendServer);
 
 private:
-    /** What may still be asked of a server within the present window. */
-    struct Allowance {
-        unsigned left = 0;
-        Milliseconds until = LongAgo;
-    };
-
     /** This instance's part of the budget for the server, in probes a second. */
     double partOf(const BackendServerState& server, double share) const;
     bool takeAllowance(const BackendServerState& server, double share, Milliseconds now);
@@ -88,7 +81,7 @@
     std::size_t instances = 1;
     std::size_t dataCentres = 1;
     ProbeNumber last = 0;
-    std::unordered_map<std::string, Allowance> allowances;
+    DealtBudget budget;
     std::unordered_map<std::string, ProbeNumber> underWay;
     std::unordered_map<ProbeNumber, std::shared_ptr<BackendServerState>> asked;
 };
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -14,7 +14,7 @@
 namespace burlreach {
 
 /** Messages of another version are refused. */
-inline constexpr std::uint32_t PeerProtocolVersion = 5;
+inline constexpr std::uint32_t PeerProtocolVersion = 6;
 
 /** Where a member takes messages. */
 NetworkAddress addressOf(const peers::Member& member);
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -17,6 +17,7 @@
     "deadline_passed_waiting",
     "deadline_passed_sending",
     "no_backend_server",
+    "data_centre_emptied",
     "backend_servers_refused",
     "answer_broken",
 };
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -17,6 +17,7 @@
     DeadlinePassedWaiting,
     DeadlinePassedSending,
     NoBackendServer, // none is there, or all are draining or leaving
+    DataCentreEmptied, // those that would take it stand in emptied data centres
     BackendServersRefused, // those that were tried did not run it
     AnswerBroken, // the connection ended before the whole answer, or what came is no answer
     Count
--- a/Source/Node/LeavingSigns.cpp
+++ b/Source/Node/LeavingSigns.cpp
@@ -10,12 +10,12 @@
 {
 }
 
-bool LeavingSigns::heard(const std::string& backendServer, bool leaving, Milliseconds at)
+bool LeavingSigns::heard(const std::string& backendServer, std::uint64_t life, bool leaving, Milliseconds at)
 {
     const auto server = this->services->backendServer(backendServer);
-    if (!server || !server->leavingSign(leaving, at))
+    if (!server || server->record().life != life || !server->leavingSign(leaving, at))
         return false;
-    this->signs[backendServer] = { .leaving = leaving, .at = at };
+    this->signs[backendServer] = { .life = life, .leaving = leaving, .at = at };
     return true;
 }
 
@@ -25,6 +25,7 @@
     for (const auto& [backendServer, sign] : this->signs) {
         peers::LeavingSign* message = messages.Add();
         message->set_backend_server(backendServer);
+        message->set_life(sign.life);
         message->set_leaving(sign.leaving);
         message->set_age_milliseconds(static_cast<std::uint32_t>((now - sign.at).count));
     }
@@ -35,7 +36,7 @@
     bool isNews = false;
     for (const peers::LeavingSign& message : messages) {
         const Milliseconds age{ static_cast<double>(message.age_milliseconds()) };
-        isNews = this->heard(message.backend_server(), message.leaving(), now - age) || isNews;
+        isNews = this->heard(message.backend_server(), message.life(), message.leaving(), now - age) || isNews;
     }
     return isNews;
 }
--- a/Source/Node/LeavingSigns.h
+++ b/Source/Node/LeavingSigns.h
@@ -3,6 +3,7 @@
 #include "Base/Milliseconds.h"
 #include "peers.pb.h"
 
+#include <cstdint>
 #include <google/protobuf/repeated_ptr_field.h>
 #include <map>
 #include <string>
@@ -25,13 +26,14 @@
 
     LeavingSigns(Options options, const ServiceTable& services);
 
-    /** True when the sign was news. */
-    bool heard(const std::string& backendServer, bool leaving, Milliseconds at);
+    /** True when the sign was news. That of an earlier life of the backend server never is. */
+    bool heard(const std::string& backendServer, std::uint64_t life, bool leaving, Milliseconds at);
     void fill(Messages& messages, Milliseconds now);
     bool receive(const Messages& messages, Milliseconds now);
 
 private:
     struct Sign {
+        std::uint64_t life = 0;
         bool leaving = false;
         Milliseconds at;
     };
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -71,9 +71,13 @@
 {
     if (server.record().draining)
         return "draining";
+    if (server.isEmptied())
+        return "emptied";
     if (!server.takesNewRequests())
         return "leaving";
-    return server.isEjected(now) ? "ejected" : "taking";
+    if (server.isEjected(now))
+        return "ejected";
+    return server.isCold(now) ? "cold" : "taking";
 }
 
 std::string_view nameOf(BackendServerChange::Kind kind)
@@ -83,10 +87,14 @@
         return "backend_server_added";
     case BackendServerChange::Kind::Changed:
         return "backend_server_changed";
+    case BackendServerChange::Kind::Restarted:
+        return "backend_server_restarted";
     case BackendServerChange::Kind::Draining:
         return "backend_server_draining";
     case BackendServerChange::Kind::Lapsed:
         return "backend_server_lapsed";
+    case BackendServerChange::Kind::Unusable:
+        return "backend_server_unusable";
     case BackendServerChange::Kind::Gone:
         return "backend_server_gone";
     }
@@ -147,9 +155,9 @@
 
 void Node::dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
-    this->flow.attemptEnded(event, now, actions);
-    if (event.end.leaving)
-        this->leavingSign(event.backendServer, *event.end.leaving, now, actions);
+    const auto server = this->flow.attemptEnded(event, now, actions);
+    if (server && event.end.leaving)
+        this->leavingSign(*server, *event.end.leaving, now, actions);
 }
 
 void Node::dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions)
@@ -159,6 +167,8 @@
         return;
     if (event.end.load)
         server->reported(*event.end.load, now);
+    if (event.end.coldRemaining)
+        server->coldFor(*event.end.coldRemaining, now);
     if (event.end.isOtherServer)
         server->markReplaced();
     if (!event.end.isAnswered) {
@@ -166,15 +176,15 @@
         server->probeFailed();
     }
     if (event.end.leaving)
-        this->leavingSign(server->id(), *event.end.leaving, now, actions);
+        this->leavingSign(*server, *event.end.leaving, now, actions);
     this->flow.figuresCame(*server, now, actions);
 }
 
-void Node::leavingSign(const std::string& backendServer, bool leaving, Milliseconds now, Actions& actions)
+void Node::leavingSign(const BackendServerState& server, bool leaving, Milliseconds now, Actions& actions)
 {
-    if (!this->signs.heard(backendServer, leaving, now))
+    if (!this->signs.heard(server.id(), server.record().life, leaving, now))
         return;
-    DecisionRecord record = beliefOf("leaving_sign", backendServer);
+    DecisionRecord record = beliefOf("leaving_sign", server.id());
     record.with("leaving", leaving ? "yes" : "no");
     actions.emplace_back(std::move(record));
     this->news.tellSigns(now, actions);
@@ -234,7 +244,8 @@
     for (const BackendServerChange& change : this->services.endLapses(now))
         actions.emplace_back(this->backendServerChanged(change, now, actions).with("heard_from", "nobody"));
     const std::size_t members = this->news.instances(now);
-    this->services.setInstances(members);
+    this->fleetSize.counted(members, now);
+    this->services.setInstances({ .known = members, .atLeast = this->fleetSize.atLeast(now) });
     this->probes.setFleet(members, this->services.dataCentres());
     this->askStore(now, actions);
     this->noteStaleness(now, actions);
@@ -316,8 +327,10 @@
     const bool isOvertaken = item.routing && item.revision < this->routingRevision;
     if (item.routing && !isOvertaken)
         this->adoptRouting(item, now, actions);
-    if (!isOvertaken)
-        this->adoptBackendServers(item, now, actions);
+    if (isOvertaken)
+        return;
+    this->adoptDataCentres(item, now, actions);
+    this->adoptBackendServers(item, now, actions);
 }
 
 void Node::adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions)
@@ -340,6 +353,21 @@
                              .with("confirmed_age", (now - this->store.confirmedAt()).count));
 }
 
+void Node::adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions)
+{
+    for (const DataCentreOrder& order : this->services.setDataCentres(item.facts, now)) {
+        actions.emplace_back(beliefOf(order.emptied ? "data_centre_emptied" : "data_centre_in_use", order.dataCentre)
+                                 .with("revision", item.revision)
+                                 .with("heard_from", nameOf(item.source))
+                                 .with("confirmed_age", (now - this->store.confirmedAt()).count));
+        if (!order.emptied)
+            continue;
+        // What is just being connected there goes elsewhere.
+        for (const std::string& id : this->services.backendServersIn(order.dataCentre))
+            actions.emplace_back(StopSendingTo{ .backendServer = id });
+    }
+}
+
 void Node::adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions)
 {
     const Milliseconds lapsesUntil = this->store.lapsesUntil(now);
@@ -354,10 +382,12 @@
 
 DecisionRecord Node::backendServerChanged(const BackendServerChange& change, Milliseconds now, Actions& actions)
 {
-    const bool isGone = change.kind == BackendServerChange::Kind::Gone;
-    if (isGone)
+    // Connections to an earlier life are as dead as those to one that is gone.
+    const bool isOver = change.kind == BackendServerChange::Kind::Gone
+        || change.kind == BackendServerChange::Kind::Unusable || change.kind == BackendServerChange::Kind::Restarted;
+    if (isOver)
         this->probes.forget(change.record.id);
-    if (isGone || change.kind == BackendServerChange::Kind::Draining)
+    if (isOver || change.kind == BackendServerChange::Kind::Draining)
         actions.emplace_back(StopSendingTo{ .backendServer = change.record.id });
     return beliefOf(nameOf(change.kind), change.record.id)
         .with("service", change.record.service)
@@ -372,7 +402,8 @@
 
 bool Node::isReady() const
 {
-    return !this->stopping && this->services.isConfigured();
+    // A change that was told by itself may lack others, such as that a data centre is emptied.
+    return !this->stopping && this->services.isConfigured() && this->store.view().revision();
 }
 
 v1::ShowLoadAnswer Node::showLoad(const std::string& name, Milliseconds now) const
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -3,6 +3,7 @@
 #include "Base/Random.h"
 #include "Configuration/ChangeCoordinator.h"
 #include "Configuration/FactTranslator.h"
+#include "Membership/FleetSize.h"
 #include "Metrics/DecisionCounters.h"
 #include "Node/Actions.h"
 #include "Node/Events.h"
@@ -91,12 +92,14 @@
     void adopt(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions);
+    void adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions);
     /** Does what follows from the change; gives its record. */
     DecisionRecord backendServerChanged(const BackendServerChange& change, Milliseconds now, Actions& actions);
     void askStore(Milliseconds now, Actions& actions);
     void noteStaleness(Milliseconds now, Actions& actions);
     void noteWatching(Actions& actions);
-    void leavingSign(const std::string& backendServer, bool leaving, Milliseconds now, Actions& actions);
+    /** The server said whether it is leaving. */
+    void leavingSign(const BackendServerState& server, bool leaving, Milliseconds now, Actions& actions);
 
     Options options;
     bool stopping = false;
@@ -108,6 +111,7 @@
     LeavingSigns signs;
     StoreKeeper store;
     NewsExchange news;
+    FleetSize fleetSize;
     ProbeDesk probes;
     RequestFlow flow;
     ChangeCoordinator changes;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -82,7 +82,8 @@
 void RequestFlow::arrived(const RequestArrived& event, Milliseconds now, Actions& actions)
 {
     this->parts.counters->add(DecisionCount::RequestsArrived);
-    if (!this->parts.services->isConfigured())
+    // A change that was told by itself may lack others, such as that a data centre is emptied.
+    if (!this->parts.services->isConfigured() || !this->parts.store->view().revision())
         return this->refuseUnrouted(event, RefusalReason::NotReady, actions);
     auto route = this->parts.services->route(event.host, event.method, event.path);
     if (!route)
@@ -90,6 +91,8 @@
     RequestState& request = this->open(event, std::move(route), now);
     if (!request.service)
         return this->refuse(request, RefusalReason::NoBackendServer, now, actions);
+    if (request.service->pool.isEmptied())
+        return this->refuse(request, RefusalReason::DataCentreEmptied, now, actions);
     if (request.service->queue.size() >= request.service->description.queueLength)
         return this->refuse(request, RefusalReason::QueueFull, now, actions);
     request.service->retryBudget.firstAttempt(now);
@@ -226,6 +229,10 @@
             this->send(request, std::move(choice.server), now, actions);
             continue;
         }
+        if (service.pool.isEmptied()) {
+            this->refuse(request, RefusalReason::DataCentreEmptied, now, actions);
+            continue;
+        }
         service.queue.pushFront(placeOf(request), *number);
         return;
     }
@@ -245,6 +252,7 @@
     request.hedgeAt = isHedged ? now + this->hedgePatience(request) : Never;
     actions.emplace_back(recordOfSent(request, *server,
         { .version = this->parts.services->version(), .confirmedAt = this->parts.store->confirmedAt() }, now));
+    request.service->pool.sent(*server, *this->parts.random, now);
     server->sent(attempt, now);
     actions.emplace_back(SendAttempt{ .request = request.number,
         .attempt = attempt,
@@ -256,16 +264,17 @@
     request.flights.push_back({ .attempt = attempt, .server = std::move(server), .sentAt = now });
 }
 
-void RequestFlow::attemptEnded(const AttemptEnded& event, Milliseconds now, Actions& actions)
+std::shared_ptr<BackendServerState> RequestFlow::attemptEnded(
+    const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
     const auto found = this->requests.find(event.request);
     if (found == this->requests.end())
-        return;
+        return nullptr;
     RequestState& request = found->second;
     const auto flight = std::find_if(request.flights.begin(), request.flights.end(),
         [&](const Flight& item) { return item.attempt == event.attempt; });
     if (flight == request.flights.end())
-        return;
+        return nullptr;
     const Flight ended = *flight;
     request.flights.erase(flight);
     const std::shared_ptr<ServiceState> service = request.service;
@@ -275,6 +284,7 @@
     else
         this->decideAfter(request, event, now, actions);
     this->pump(*service, now, actions);
+    return ended.server;
 }
 
 void RequestFlow::learn(
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -54,7 +54,8 @@
 
     void arrived(const RequestArrived& event, Milliseconds now, Actions& actions);
     void callerGone(const CallerGone& event, Milliseconds now, Actions& actions);
-    void attemptEnded(const AttemptEnded& event, Milliseconds now, Actions& actions);
+    /** Gives the server that the attempt was sent to; null when nobody waits for its end any more. */
+    std::shared_ptr<BackendServerState> attemptEnded(const AttemptEnded& event, Milliseconds now, Actions& actions);
     /** The figures of this backend server are there, or will not come. */
     void figuresCame(const BackendServerState& server, Milliseconds now, Actions& actions);
     /** Backend servers came, or have room again. */
--- a/Source/Node/ServiceState.cpp
+++ b/Source/Node/ServiceState.cpp
@@ -19,10 +19,11 @@
 {
 }
 
-void ServiceState::configure(const ServiceDescription& next, std::size_t instances)
+void ServiceState::configure(const ServiceDescription& next, const FleetCount& fleet)
 {
     this->description = next;
-    const std::size_t members = std::max<std::size_t>(instances, 1);
+    this->pool.setColdShare({ .perSecond = next.coldRequestsPerSecond, .instances = fleet.atLeast });
+    const std::size_t members = std::max<std::size_t>(fleet.known, 1);
     this->pool.setConnectionShare(next.connectionsPerBackendServer / members);
     this->retryBudget.setInstances(members);
 }
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -7,17 +7,27 @@
 #include "Configuration/RoutingConfiguration.h"
 #include "Routing/ServicePool.h"
 
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace burlreach {
 
+/** How many instances share what a fleet may do. */
+struct FleetCount {
+    std::size_t known = 1; // heard of lately
+    std::optional<std::size_t> atLeast; // for bounds that hold from the first moment on; nothing while it is not known
+
+    bool operator==(const FleetCount&) const = default;
+};
+
 /** All that this instance knows and holds for one service. */
 struct ServiceState {
     ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions, const RetryLimits& limits);
 
-    void configure(const ServiceDescription& description, std::size_t instances);
+    void configure(const ServiceDescription& description, const FleetCount& fleet);
     /** The mean time to answer of a route's requests; a guess from its target while none is known. */
     Milliseconds expectedTime(const Route& route) const;
     void answered(const Route& route, Milliseconds took);
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -6,6 +6,20 @@
 
 namespace burlreach {
 
+namespace {
+
+BackendServerChange::Kind kindOf(const BackendServerRecord& before, const BackendServerRecord& next, bool isNew)
+{
+    const bool isOtherLife = isNew || next.life != before.life;
+    if (next.draining && (isOtherLife || !before.draining))
+        return BackendServerChange::Kind::Draining;
+    if (isNew)
+        return BackendServerChange::Kind::Added;
+    return isOtherLife ? BackendServerChange::Kind::Restarted : BackendServerChange::Kind::Changed;
+}
+
+}
+
 ServiceTable::ServiceTable(Options givenOptions, Random& givenRandom)
     : options(std::move(givenOptions))
     , random(&givenRandom)
@@ -32,7 +46,7 @@
         state->configure(description, this->instances);
         for (const auto& [id, record] : this->records) {
             if (isNew && record.service == description.name)
-                state->pool.put(record, LongAgo);
+                this->putIn(*state, record, LongAgo);
         }
         kept.push_back(state);
         keptNames[description.name] = std::move(state);
@@ -50,7 +64,7 @@
     });
 }
 
-void ServiceTable::setInstances(std::size_t count)
+void ServiceTable::setInstances(const FleetCount& count)
 {
     if (count == this->instances)
         return;
@@ -61,19 +75,65 @@
 
 void ServiceTable::put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes)
 {
-    this->lapsed.erase(record.id);
     const auto [known, isNew] = this->records.emplace(record.id, record);
-    const bool startsDraining = record.draining && (isNew || !known->second.draining);
-    auto kind = isNew ? BackendServerChange::Kind::Added : BackendServerChange::Kind::Changed;
-    if (startsDraining)
-        kind = BackendServerChange::Kind::Draining;
-    known->second = record;
+    // Written late by a process that has ended: the newer life is the one that runs.
+    if (record.life < known->second.life)
+        return;
+    this->lapsed.erase(record.id);
+    const BackendServerRecord before = std::exchange(known->second, record);
+    if (before.service != record.service) {
+        if (const auto service = this->byName(before.service))
+            service->pool.remove(record.id);
+    }
     if (const auto service = this->byName(record.service))
-        service->pool.put(record, now);
-    changes.push_back({ .kind = kind, .record = record });
+        this->putIn(*service, record, now);
+    changes.push_back({ .kind = kindOf(before, record, isNew), .record = record });
+}
+
+void ServiceTable::putIn(ServiceState& service, const BackendServerRecord& record, Milliseconds now) const
+{
+    service.pool.put(record, now)->setEmptied(this->emptied.contains(record.dataCentre));
 }
 
-void ServiceTable::remove(const std::string& id, std::vector<BackendServerChange>& changes)
+void ServiceTable::order(const DataCentreOrder& order, Milliseconds now, std::vector<DataCentreOrder>& changes)
+{
+    const bool isNews
+        = order.emptied ? this->emptied.insert(order.dataCentre).second : this->emptied.erase(order.dataCentre) > 0;
+    if (!isNews)
+        return;
+    for (const auto& service : this->services) {
+        const Milliseconds cold = service->description.coldStart;
+        for (const auto& server : service->pool.servers()) {
+            if (server->record().dataCentre != order.dataCentre)
+                continue;
+            server->setEmptied(order.emptied);
+            // They had nothing to do for a while; what they say themselves of it comes later.
+            if (!order.emptied && cold.count > 0)
+                server->coldFor(cold, now);
+        }
+    }
+    changes.push_back(order);
+}
+
+std::vector<DataCentreOrder> ServiceTable::setDataCentres(const Facts& facts, Milliseconds now)
+{
+    std::vector<DataCentreOrder> changes;
+    for (const DataCentreOrder& order : facts.dataCentres)
+        this->order(order, now, changes);
+    if (!facts.areAllDataCentres)
+        return changes;
+    const std::set<std::string> before = this->emptied;
+    for (const std::string& dataCentre : before) {
+        const bool isNamed = std::any_of(facts.dataCentres.begin(), facts.dataCentres.end(),
+            [&](const DataCentreOrder& order) { return order.dataCentre == dataCentre; });
+        if (!isNamed)
+            this->order({ .dataCentre = dataCentre, .emptied = false }, now, changes);
+    }
+    return changes;
+}
+
+void ServiceTable::remove(
+    const std::string& id, BackendServerChange::Kind kind, std::vector<BackendServerChange>& changes)
 {
     this->lapsed.erase(id);
     const auto known = this->records.find(id);
@@ -81,7 +141,7 @@
         return;
     if (const auto service = this->byName(known->second.service))
         service->pool.remove(id);
-    changes.push_back({ .kind = BackendServerChange::Kind::Gone, .record = known->second });
+    changes.push_back({ .kind = kind, .record = known->second });
     this->records.erase(known);
 }
 
@@ -106,7 +166,7 @@
             ended.push_back(id);
     }
     for (const std::string& id : ended)
-        this->remove(id, changes);
+        this->remove(id, BackendServerChange::Kind::Gone, changes);
     return changes;
 }
 
@@ -126,8 +186,10 @@
         this->put(record, now, changes);
     for (const std::string& id : facts.goneBackendServers) {
         if (!this->lapse(id, lapsesUntil, now, changes))
-            this->remove(id, changes);
+            this->remove(id, BackendServerChange::Kind::Gone, changes);
     }
+    for (const std::string& id : facts.unusableBackendServers)
+        this->remove(id, BackendServerChange::Kind::Unusable, changes);
     if (!facts.areAllBackendServers)
         return changes;
     std::set<std::string_view> named;
@@ -139,7 +201,7 @@
             gone.push_back(id);
     }
     for (const std::string& id : gone)
-        this->remove(id, changes);
+        this->remove(id, BackendServerChange::Kind::Gone, changes);
     return changes;
 }
 
@@ -180,6 +242,16 @@
     return names.size();
 }
 
+std::vector<std::string> ServiceTable::backendServersIn(std::string_view dataCentre) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, record] : this->records) {
+        if (record.dataCentre == dataCentre)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::shared_ptr<BackendServerState> ServiceTable::backendServer(std::string_view id) const
 {
     const auto record = this->records.find(id);
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,8 +25,10 @@
     enum class Kind {
         Added,
         Changed,
+        Restarted, // another life under the same id
         Draining,
         Lapsed, // its record is missing and may come back
+        Unusable, // its record cannot be read any more
         Gone
     };
 
@@ -50,7 +53,9 @@
     std::vector<BackendServerChange> endLapses(Milliseconds now);
     /** When endLapses() has something to do; Never when nothing lapsed. */
     Milliseconds nextLapseEnd() const;
-    void setInstances(std::size_t instances);
+    /** Those that are new to this instance. */
+    std::vector<DataCentreOrder> setDataCentres(const Facts& facts, Milliseconds now);
+    void setInstances(const FleetCount& count);
 
     /** False before the first configuration. */
     bool isConfigured() const { return this->configured; }
@@ -66,25 +71,32 @@
     std::size_t backendServers() const { return this->records.size(); }
     /** Data centres that have backend servers. */
     std::size_t dataCentres() const;
+    /** Ids. */
+    std::vector<std::string> backendServersIn(std::string_view dataCentre) const;
+    const std::set<std::string>& emptiedDataCentres() const { return this->emptied; }
     std::span<const std::shared_ptr<ServiceState>> all() const { return this->services; }
 
 private:
     /** Those of routes that are no longer there. */
     void forgetTurns();
     void put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes);
-    void remove(const std::string& id, std::vector<BackendServerChange>& changes);
+    /** Adds the record to its service's pool, as its data centre is to be used. */
+    void putIn(ServiceState& service, const BackendServerRecord& record, Milliseconds now) const;
+    void order(const DataCentreOrder& order, Milliseconds now, std::vector<DataCentreOrder>& changes);
+    void remove(const std::string& id, BackendServerChange::Kind kind, std::vector<BackendServerChange>& changes);
     /** True when the record may have lapsed only; it is then kept for a while. */
     bool lapse(const std::string& id, Milliseconds until, Milliseconds now, std::vector<BackendServerChange>& changes);
 
     Options options;
     Random* random;
-    std::size_t instances = 1;
+    FleetCount instances;
     bool configured = false;
     std::shared_ptr<const PreparedRouting> routing; // never null
     std::vector<std::shared_ptr<ServiceState>> services;
     std::unordered_map<std::string, std::shared_ptr<ServiceState>> byNames;
     std::map<std::string, BackendServerRecord, std::less<>> records;
     std::unordered_map<std::string, WeightedTurn> turns; // by route
+    std::set<std::string> emptied; // data centres
     std::map<std::string, Milliseconds> lapsed; // until when the record may come back, by id
 };
 
--- a/Source/Operators/OperatorServer.cpp
+++ b/Source/Operators/OperatorServer.cpp
@@ -124,6 +124,7 @@
     answer.set_revision(configuration.revision());
     for (const v1::Service& service : configuration.services())
         answer.add_services(service.name());
+    *answer.mutable_emptied_data_centres() = configuration.emptied_data_centres();
     return answer;
 }
 
--- a/Source/Program/ConfigurationView.cpp
+++ b/Source/Program/ConfigurationView.cpp
@@ -56,6 +56,8 @@
         shown->mutable_limits()->set_connections_per_backend_server(
             static_cast<std::uint32_t>(service->description.connectionsPerBackendServer));
     }
+    for (const std::string& dataCentre : services.emptiedDataCentres())
+        view.add_emptied_data_centres(dataCentre);
     return view;
 }
 
--- a/Source/Program/ControlCommand.cpp
+++ b/Source/Program/ControlCommand.cpp
@@ -145,6 +145,8 @@
         ->required();
     addField<std::uint32_t>(
         *name, "--slots", this->server, &v1::BackendServer::set_slots, "Requests that it works on at once");
+    addField<std::uint64_t>(*name, "--life", this->server, &v1::BackendServer::set_life,
+        "Another number: it began anew, and nothing known of it before holds");
 
     CLI::App* drain = this->addChange(
         control, "drain-backend-server", "Send a backend server no new requests", [this](v1::ChangeRequest& request) {
@@ -156,6 +158,14 @@
     drain->add_option("--name", this->serverName, "Name of the backend server")->required();
     drain->add_flag("--undo", this->undo, "Take the drain back");
 
+    CLI::App* empty = this->addChange(control, "empty-data-centre",
+        "Send the backend servers of a data centre no new requests", [this](v1::ChangeRequest& request) {
+            request.mutable_empty_data_centre()->set_data_centre(this->dataCentre);
+            request.mutable_empty_data_centre()->set_emptied(!this->undo);
+        });
+    empty->add_option("--data-centre", this->dataCentre, "Data centre of the backend servers")->required();
+    empty->add_flag("--undo", this->undo, "Take the data centre back into use");
+
     CLI::App* remove = this->addChange(
         control, "remove-backend-server", "Remove a backend server from a service", [this](v1::ChangeRequest& request) {
             request.mutable_remove_backend_server()->set_service(this->service);
@@ -228,6 +238,10 @@
         "Slot time a second for probes, per backend server, all instances together");
     addField<std::uint32_t>(
         *set, "--maximum-body-bytes", this->limits, &v1::Limits::set_maximum_body_bytes, "Largest body of a request");
+    addField<std::uint32_t>(*set, "--cold-requests-per-second", this->limits, &v1::Limits::set_cold_requests_per_second,
+        "That a cold backend server bears, from all instances together; none: no bound");
+    addField<std::uint32_t>(*set, "--cold-start-milliseconds", this->limits, &v1::Limits::set_cold_start_milliseconds,
+        "How long a backend server is cold after a pause");
 }
 
 void ControlCommand::addShowVerbs(CLI::App& control)
--- a/Source/Program/ControlCommand.h
+++ b/Source/Program/ControlCommand.h
@@ -46,6 +46,7 @@
     std::vector<std::string> hosts;
     v1::BackendServer server;
     std::string serverName;
+    std::string dataCentre;
     bool undo = false;
     v1::RequestRule rule;
     std::string repeat;
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -54,7 +54,7 @@
 
 bool BackendServerState::takesNewRequests() const
 {
-    return !this->description.draining && !this->leaving && !this->replaced;
+    return !this->description.draining && !this->leaving && !this->replaced && !this->emptied;
 }
 
 void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -45,6 +45,10 @@
     void probeFailed();
     /** True when the sign is newer than the known one and says otherwise. */
     bool leavingSign(bool leaving, Milliseconds at);
+    /** It said itself for how long it is cold; zero: it is not. */
+    void coldFor(Milliseconds remaining, Milliseconds now) { this->coldUntil = now + remaining; }
+    /** Its data centre is emptied, or was taken back into use. */
+    void setEmptied(bool isEmptied) { this->emptied = isEmptied; }
     /** Another backend server has the address: this life is over. */
     void markReplaced() { this->replaced = true; }
     void eject(Milliseconds until);
@@ -57,10 +61,14 @@
 
     bool isLeaving() const { return this->leaving; }
     /** Nothing else than its sign says that it leaves. */
-    bool isLeavingByItsWord() const { return this->leaving && !this->description.draining && !this->replaced; }
+    bool isLeavingByItsWord() const
+    {
+        return this->leaving && !this->description.draining && !this->replaced && !this->emptied;
+    }
     Milliseconds leavingSignAt() const { return this->leavingAt; }
-    /** False for draining, leaving and replaced backend servers. */
+    /** False for draining, leaving and replaced backend servers, and in an emptied data centre. */
     bool takesNewRequests() const;
+    bool isEmptied() const { return this->emptied; }
     /** After a refusal it rests for a moment. */
     bool isResting(Milliseconds now) const { return now < this->restingUntil; }
     bool isEjected(Milliseconds now) const { return now < this->ejectedUntil; }
@@ -98,6 +106,7 @@
     std::size_t connectionShare = 16;
     Milliseconds coldUntil = LongAgo;
     bool replaced = false;
+    bool emptied = false;
     bool leaving = false;
     Milliseconds leavingAt = LongAgo;
     std::vector<Flight> flights;
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -23,19 +23,35 @@
 {
 }
 
-bool ServicePool::put(const BackendServerRecord& record, Milliseconds now)
+std::shared_ptr<BackendServerState> ServicePool::put(const BackendServerRecord& record, Milliseconds now)
 {
-    if (const auto known = this->find(record.id)) {
+    const auto known = this->find(record.id);
+    if (known && known->record().life == record.life) {
         known->configure(record, now);
-        return false;
+        return known;
     }
+    // Attempts at the earlier life end there and teach nothing of this one.
+    if (known)
+        this->remove(record.id);
     this->list.push_back(std::make_shared<BackendServerState>(record, now));
     this->list.back()->setConnectionShare(this->connectionShare);
-    return true;
+    return this->list.back();
+}
+
+bool ServicePool::isEmptied() const
+{
+    bool anyEmptied = false;
+    for (const auto& server : this->list) {
+        if (server->takesNewRequests())
+            return false;
+        anyEmptied = anyEmptied || server->isEmptied();
+    }
+    return anyEmptied;
 }
 
 bool ServicePool::remove(std::string_view id)
 {
+    this->coldShare.forget(std::string(id));
     return std::erase_if(this->list, [id](const auto& server) { return server->id() == id; }) > 0;
 }
 
@@ -91,9 +107,11 @@
 
 Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
 {
-    const auto takers = this->takers(wish, context.now);
+    auto takers = this->takers(wish, context.now);
     if (takers.empty())
         return { .server = nullptr, .reason = NoChoice::NobodyTakes };
+    std::erase_if(takers,
+        [&](const BackendServerState* server) { return !this->coldShare.allows(*server, random, context.now); });
     auto candidates = takers;
     const PoolLoad pool = poolLoadOf(candidates);
     std::erase_if(candidates, [&](const BackendServerState* server) {
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Random.h"
+#include "Routing/ColdStartShare.h"
 #include "Routing/CrowdingEstimate.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/RoutingPolicy.h"
@@ -42,11 +43,19 @@
 
     ServicePool(std::unique_ptr<RoutingPolicy> policy, Options options);
 
-    /** Adds a life of a backend server or takes over its changed record; true when it is new. */
-    bool put(const BackendServerRecord& record, Milliseconds now);
+    /** Adds a life of a backend server, in place of an earlier one, or takes over its changed record. */
+    std::shared_ptr<BackendServerState> put(const BackendServerRecord& record, Milliseconds now);
     /** True when it was there. */
     bool remove(std::string_view id);
     void setConnectionShare(std::size_t share);
+    void setColdShare(const ColdStartShare::Options& share) { this->coldShare.configure(share); }
+    /** Some would take requests, but all these stand in emptied data centres. */
+    bool isEmptied() const;
+    /** A request is sent to the server. */
+    void sent(const BackendServerState& server, Random& random, Milliseconds now)
+    {
+        this->coldShare.sent(server, random, now);
+    }
 
     Choice choose(const ChoiceWish& wish, const RoutingContext& context, Random& random);
     /** Those whose load is worth knowing before a choice, the best by what is known first. */
@@ -77,6 +86,7 @@
     std::unique_ptr<RoutingPolicy> policy;
     OutlierDetector outliers;
     CrowdingEstimate crowdingEstimate;
+    ColdStartShare coldShare;
     std::size_t connectionShare = 16;
     std::vector<std::shared_ptr<BackendServerState>> list;
 };
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -19,6 +19,11 @@
 constexpr Milliseconds AfterDrain{ 3500 };
 constexpr Milliseconds DrainBound{ 2000 };
 constexpr const char* DrainedServer = "s5";
+/** s1 and s4 stand there; the drained one does not. */
+constexpr const char* EmptiedDataCentre = "dc-2";
+constexpr const char* ServersThere[] = { "s1", "s4" };
+/** After the faults: instances hear of what they missed. */
+constexpr Milliseconds EmptiedBound{ 2000 };
 constexpr std::size_t LeavingEvery = 17;
 
 constexpr std::array<Step, 26> Steps{ {
@@ -187,10 +192,13 @@
     this->inject();
     this->fleet.observe({});
     // A change while things are wrong; nobody may go back behind it later.
-    const StoreRevision changed = this->fleet.configure(virtualConfiguration(this->fleet.serverIds(), 2));
+    v1::Configuration emptied = virtualConfiguration(this->fleet.serverIds(), 2);
+    emptied.add_emptied_data_centres(EmptiedDataCentre);
+    const StoreRevision changed = this->fleet.configure(emptied);
     this->load(UnderFault);
     for (const Fault* fault : this->faults)
         fault->heal(this->fleet);
+    const Milliseconds healedAt = this->fleet.now();
     this->load(AfterHealing);
     for (std::size_t instance = 0; instance < Instances; ++instance) {
         if (this->fleet.isAlive(instance))
@@ -202,6 +210,11 @@
     Promises promises(this->fleet);
     promises.checkRequests();
     promises.checkDrain(DrainedServer, this->drainedAt, DrainBound);
+    for (const char* server : ServersThere)
+        promises.checkUnused(server, healedAt + EmptiedBound, this->drainedAt);
+    // Faults that strike many servers may keep this one out of use for longer.
+    if (this->allConfined())
+        promises.checkUsed(ServersThere[1], this->drainedAt);
     std::vector<std::string> broken = promises.broken();
     if (fellBack)
         broken.push_back("an instance does not have a change seconds after all was well");
--- a/Tests/FaultMatrix/Promises.cpp
+++ b/Tests/FaultMatrix/Promises.cpp
@@ -1,5 +1,7 @@
 #include "Tests/FaultMatrix/Promises.h"
 
+#include <algorithm>
+
 namespace burlreach {
 
 namespace {
@@ -51,6 +53,27 @@
         this->checkCaller(caller);
 }
 
+void Promises::checkUnused(const std::string& serverId, Milliseconds from, Milliseconds until)
+{
+    for (const SentAttempt& attempt : this->fleet->sentAttempts()) {
+        const bool isThere = attempt.backendServer.find("/" + serverId + "@") != std::string::npos;
+        if (isThere && attempt.at > from && attempt.at < until)
+            this->sentences.push_back(attempt.requestId + " was sent to " + serverId
+                + " in an emptied data centre by entry-" + std::to_string(attempt.instance + 1) + " "
+                + std::to_string((attempt.at - from).count) + " ms late");
+    }
+}
+
+void Promises::checkUsed(const std::string& serverId, Milliseconds from)
+{
+    const auto& all = this->fleet->sentAttempts();
+    const bool isUsed = std::any_of(all.begin(), all.end(), [&](const SentAttempt& attempt) {
+        return attempt.at > from && attempt.backendServer.find("/" + serverId + "@") != std::string::npos;
+    });
+    if (!isUsed)
+        this->sentences.push_back("nothing was sent to " + serverId + " after its data centre was taken back");
+}
+
 void Promises::checkDrain(const std::string& serverId, Milliseconds acknowledged, Milliseconds bound)
 {
     for (const SentAttempt& attempt : this->fleet->sentAttempts()) {
--- a/Tests/FaultMatrix/Promises.h
+++ b/Tests/FaultMatrix/Promises.h
@@ -17,6 +17,11 @@
     /** Nobody who knew of the drain sent anything there after the bound. */
     void checkDrain(const std::string& serverId, Milliseconds acknowledged, Milliseconds bound);
 
+    /** Nothing was sent to this server between these times. */
+    void checkUnused(const std::string& serverId, Milliseconds from, Milliseconds until);
+    /** Something was sent there after this time. */
+    void checkUsed(const std::string& serverId, Milliseconds from);
+
     const std::vector<std::string>& broken() const { return this->sentences; }
 
 private:
--- /dev/null
+++ b/Tests/Node/LivesTest.cpp
@@ -0,0 +1,137 @@
+#include "Node/LeavingSigns.h"
+#include "Node/ServiceTable.h"
+#include "Routing/LoadAwarePolicy.h"
+
+#include <memory>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+class Policies final : public PolicyFactory {
+public:
+    std::unique_ptr<RoutingPolicy> create() const override { return std::make_unique<LoadAwarePolicy>(); }
+};
+
+BackendServerRecord record(std::uint64_t life, const char* host = "10.0.0.1")
+{
+    BackendServerRecord server;
+    server.id = "s1";
+    server.life = life;
+    server.service = "bookings";
+    server.address = { .host = host, .port = 80 };
+    server.dataCentre = "dc-1";
+    return server;
+}
+
+Facts named(const BackendServerRecord& server)
+{
+    Facts facts;
+    facts.backendServers.push_back(server);
+    return facts;
+}
+
+/** Records that come one after the other, and the life that is then in use. */
+struct Case {
+    const char* name;
+    std::vector<std::uint64_t> lives;
+    std::uint64_t inUse;
+    BackendServerChange::Kind last;
+};
+
+using Kind = BackendServerChange::Kind;
+
+const std::vector<Case> Cases{
+    { "the same life", { 5, 5 }, 5, Kind::Changed },
+    { "a new life", { 5, 9 }, 9, Kind::Restarted },
+    { "an older life, late", { 9, 5 }, 9, Kind::Added },
+    { "lives that are not told apart", { 0, 0 }, 0, Kind::Changed },
+    { "told apart from now on", { 0, 5 }, 5, Kind::Restarted },
+};
+
+}
+
+TEST_GROUP(Lives)
+{
+    Random random{ 1 };
+    ServiceTable table{ { .policies = std::make_shared<Policies>(), .retries = {} }, this->random };
+
+    void setup() override
+    {
+        auto routing = std::make_shared<PreparedRouting>();
+        routing->configuration.services.push_back({ .name = "bookings" });
+        this->table.setRouting(routing);
+    }
+
+    std::vector<BackendServerChange> hear(const Facts& facts)
+    {
+        return this->table.setBackendServers(facts, LongAgo, { 100 });
+    }
+};
+
+TEST(Lives, TheNewestLifeIsTheOneInUse)
+{
+    for (const Case& item : Cases) {
+        this->table = ServiceTable({ .policies = std::make_shared<Policies>(), .retries = {} }, this->random);
+        this->setup();
+        Kind last = Kind::Gone;
+        for (const std::uint64_t life : item.lives) {
+            for (const BackendServerChange& change : this->hear(named(record(life))))
+                last = change.kind;
+        }
+        LONGS_EQUAL_TEXT(item.inUse, this->table.backendServer("s1")->record().life, item.name);
+        CHECK_TEXT(last == item.last, item.name);
+    }
+}
+
+TEST(Lives, NothingOfTheOldLifeIsBelievedOfTheNewOne)
+{
+    this->hear(named(record(5)));
+    const auto before = this->table.backendServer("s1");
+    before->reported({ .running = 2, .waiting = 1, .slots = 3, .workPercent = 500 }, { 110 });
+    before->sent(1, { 110 });
+    before->coldFor({ 60000 }, { 110 });
+    before->eject({ 60000 });
+    before->leavingSign(true, { 120 });
+    this->hear(named(record(9, "10.0.0.2")));
+    const auto now = this->table.backendServer("s1");
+    CHECK(now != before);
+    CHECK(now->report().at == LongAgo);
+    LONGS_EQUAL(0, now->inFlight());
+    CHECK(now->takesNewRequests());
+    CHECK_FALSE(now->isCold({ 130 }));
+    CHECK_FALSE(now->isEjected({ 130 }));
+    STRCMP_EQUAL("10.0.0.2:80", now->record().address.text().c_str());
+    before->ended(1, { .result = AttemptResult::Broken }, {}, { 140 });
+    LONGS_EQUAL_TEXT(0, now->failuresInARow(), "an attempt at the old life");
+}
+
+TEST(Lives, ALeavingSignOfTheOldLifeDoesNotSilenceTheNewOne)
+{
+    LeavingSigns signs({}, this->table);
+    LeavingSigns::Messages told;
+    this->hear(named(record(5)));
+    CHECK(signs.heard("s1", 5, true, { 110 }));
+    signs.fill(told, { 120 });
+    this->hear(named(record(9)));
+    CHECK_FALSE(signs.heard("s1", 5, true, { 130 }));
+    CHECK_FALSE(signs.receive(told, { 140 }));
+    CHECK(this->table.backendServer("s1")->takesNewRequests());
+    CHECK(signs.heard("s1", 9, true, { 150 }));
+}
+
+TEST(Lives, ARecordThatCannotBeReadAnyMoreNamesNoServer)
+{
+    this->hear(named(record(5)));
+    Facts spoilt;
+    spoilt.unusableBackendServers.push_back("s1");
+    constexpr Milliseconds lapsesUntil{ 60000 };
+    const auto changes = this->table.setBackendServers(spoilt, lapsesUntil, { 200 });
+    LONGS_EQUAL(1, changes.size());
+    CHECK(changes.front().kind == Kind::Unusable);
+    CHECK(!this->table.backendServer("s1"));
+}
--- a/Tests/Platform/KvFactTranslatorTest.cpp
+++ b/Tests/Platform/KvFactTranslatorTest.cpp
@@ -1,6 +1,7 @@
 #include "KvFactTranslator.h"
 #include "Base64.h"
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
     "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15s"}})";
 
 constexpr const char* Server
-    = R"({"address":"10.128.0.9:8080","info":{"service":"s-a","version":"v1","zone":"z-1","slots":4},
+    = R"({"address":"10.128.0.9:8080","born":1764716442123,"info":{"service":"s-a","version":"v1","zone":"z-1","slots":4},
     "status":{"state":"draining","sequence":4,"cold_remaining":"1500ms"}})";
 
 StoreItem item(const char* key, const char* value, bool removed = false)
@@ -39,12 +40,63 @@
     { "a status", item("status/x", "{}"), 0 },
     { "no JSON", item("op/config", "{"), 1 },
     { "a list", item("op/config", "[]"), 1 },
-    { "a route to nowhere", item("op/config", R"({"routes":{"r":{"host":"a","path_prefix":"/"}}})"), 1 },
-    { "a server without an address", item("servers/i", R"({"info":{"service":"s"}})"), 1 },
-    { "a server without a service", item("servers/i", R"({"address":"10.0.0.1:1"})"), 1 },
+    { "a route to nowhere", item("op/config", R"({"version":"01","routes":{"r":{"host":"a","path_prefix":"/"}}})"), 1 },
+    { "a route without a host",
+        item("op/config", R"({"version":"01","routes":{"r":{"path_prefix":"/","service":"s"}}})"), 1 },
+    { "a version of another type",
+        item("op/config", R"({"version":1,"routes":{"r":{"host":"a","path_prefix":"/","service":"s"}}})"), 1 },
+    { "an absurd weight", item("op/config", R"({"version":"01","routes":{"r":{"host":"a","path_prefix":"/",
+        "traffic_split":[{"service":"s","weight":-4},{"service":"t","weight":1}]}}})"),
+        1 },
+    { "routes of another type", item("op/config", R"({"version":"01","routes":[]})"), 1 },
     { "the configuration removed", item("op/config", "", true), 0 },
 };
 
+/** A text in the record of a server, and what another writer has in its place. */
+struct ForeignRecord {
+    const char* name;
+    const char* usual;
+    const char* foreign;
+};
+
+const std::vector<ForeignRecord> ForeignRecords{
+    { "no address", R"("address":"10.128.0.9:8080",)", "" },
+    { "an address that is none", R"("10.128.0.9:8080")", R"("somewhere")" },
+    { "an address of another type", R"("10.128.0.9:8080")", "7" },
+    { "a start of another type", "1764716442123", R"("1764716442123")" },
+    { "a start that is no whole number", "1764716442123", "1764716442123.5" },
+    { "a start before all times", "1764716442123", "-1" },
+    { "no service", R"("service":"s-a",)", "" },
+    { "an empty service", R"("s-a")", R"("")" },
+    { "a service of another type", R"("s-a")", R"(["s-a"])" },
+    { "no software version", R"("version":"v1",)", "" },
+    { "no data centre", R"("zone":"z-1",)", "" },
+    { "a data centre of another type", R"("z-1")", "null" },
+    { "no slots", R"(,"slots":4)", "" },
+    { "no slots at all", R"("slots":4)", R"("slots":0)" },
+    { "slots of another type", R"("slots":4)", R"("slots":"4")" },
+    { "parts of slots", R"("slots":4)", R"("slots":4.5)" },
+    { "an absurd number of slots", R"("slots":4)", R"("slots":400000000)" },
+    { "no state", R"("state":"draining",)", "" },
+    { "a state that is not named", R"("draining")", R"("paused")" },
+    { "a state of another type", R"("draining")", "true" },
+    { "no sequence", R"("sequence":4,)", "" },
+    { "a sequence of another type", R"("sequence":4)", R"("sequence":"four")" },
+    { "no cold time", R"(,"cold_remaining":"1500ms")", "" },
+    { "a cold time of another type", R"("1500ms")", "1500" },
+    { "a cold time without a unit", R"("1500ms")", R"("1500")" },
+    { "an absurd cold time", R"("1500ms")", R"("900000000s")" },
+    { "no info", R"("info")", R"("other")" },
+    { "a status of another type", R"("status":{)", R"("status":"ready","other":{)" },
+};
+
+std::string replaced(std::string text, const std::string& usual, const std::string& next)
+{
+    const std::size_t at = text.find(usual);
+    CHECK_TEXT(at != std::string::npos, usual.c_str());
+    return text.replace(at, usual.size(), next);
+}
+
 }
 
 TEST_GROUP(KvFactTranslator)
@@ -86,6 +138,7 @@
     STRCMP_EQUAL("10.128.0.9:8080", record.address.text().c_str());
     STRCMP_EQUAL("z-1", record.dataCentre.c_str());
     LONGS_EQUAL(4, record.slots);
+    LONGS_EQUAL(1764716442123, record.life);
     CHECK(record.draining);
     DOUBLES_EQUAL(1500, record.coldRemaining.count, 0);
     const Facts gone = this->translator.translate(item("servers/i-7", "", true));
@@ -111,3 +164,63 @@
     for (const char* bad : { "a", "ab=", "****" })
         CHECK_FALSE(platform::decodeBase64(bad).has_value());
 }
+
+TEST(KvFactTranslator, ARecordOfAnotherWriterNamesNoServerToUse)
+{
+    for (const ForeignRecord& each : ForeignRecords) {
+        const std::string record = replaced(Server, each.usual, each.foreign);
+        const Facts facts = this->translator.translate(item("servers/i-7", record.c_str()));
+        CHECK_TEXT(facts.backendServers.empty(), each.name);
+        LONGS_EQUAL_TEXT(1, facts.unusableBackendServers.size(), each.name);
+        CHECK_TEXT(!facts.findings.empty(), each.name);
+        CHECK_TEXT(facts.findings.all().front().place.starts_with("servers/i-7"), each.name);
+    }
+}
+
+TEST(KvFactTranslator, ARecordWithoutAStartIsUsed)
+{
+    const std::string record = replaced(Server, R"("born":1764716442123,)", "");
+    const Facts facts = this->translator.translate(item("servers/i-7", record.c_str()));
+    LONGS_EQUAL(1, facts.backendServers.size());
+    LONGS_EQUAL(0, facts.backendServers.front().life);
+}
+
+// Whatever bytes lie there, the record is either whole or not used.
+TEST(KvFactTranslator, SpoiltBytesNeverNameAServerInPart)
+{
+    constexpr int rounds = 20000;
+    std::mt19937 random(1);
+    const std::string usual = Server;
+    for (int round = 0; round < rounds; ++round) {
+        std::string spoilt = usual;
+        const std::size_t changes = 1 + random() % 3;
+        for (std::size_t change = 0; change < changes; ++change)
+            spoilt[random() % spoilt.size()] = static_cast<char>(random() % 256);
+        const Facts facts = this->translator.translate(item("servers/i-7", spoilt.c_str()));
+        LONGS_EQUAL(1, facts.backendServers.size() + facts.unusableBackendServers.size());
+        CHECK(facts.backendServers.empty() != facts.findings.empty());
+        for (const BackendServerRecord& record : facts.backendServers)
+            CHECK(!record.service.empty() && !record.dataCentre.empty() && record.slots > 0 && record.address.port);
+    }
+}
+
+TEST(KvFactTranslator, ReadsThatADataCentreIsEmptiedAndTakenBack)
+{
+    const Facts emptied = this->translator.translate(item("op/evacuate/z-1", "{}"));
+    LONGS_EQUAL(1, emptied.dataCentres.size());
+    STRCMP_EQUAL("z-1", emptied.dataCentres.front().dataCentre.c_str());
+    CHECK(emptied.dataCentres.front().emptied);
+    const Facts back = this->translator.translate(item("op/evacuate/z-1", "", true));
+    CHECK_FALSE(back.dataCentres.front().emptied);
+    const Facts unreadable = this->translator.translate(item("op/evacuate/z-1", "\x01{"));
+    CHECK_TEXT(unreadable.dataCentres.front().emptied, "the key alone says it");
+}
+
+TEST(KvFactTranslator, ReadsWhatAColdServerBears)
+{
+    const Facts facts = this->translator.translate(item("op/config",
+        R"({"version":"01","routes":{"r":{"host":"a","path_prefix":"/","service":"s"}},
+            "services":{"s":{"cold_start":"3s","cold_per_s":2.5}}})"));
+    DOUBLES_EQUAL(2.5, facts.configuration->services.front().coldRequestsPerSecond, 0);
+    DOUBLES_EQUAL(3000, facts.configuration->services.front().coldStart.count, 0);
+}
--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -116,7 +116,8 @@
 {
     BackendServerRecord draining = record("s1");
     draining.draining = true;
-    CHECK_FALSE(this->pool.put(draining, { 10 }));
+    const auto before = this->pool.find("s1");
+    CHECK_TEXT(this->pool.put(draining, { 10 }) == before, "the same life");
     this->pool.find("s2")->leavingSign(true, { 50 });
     LONGS_EQUAL(60, this->timesChosen("s3"));
     const auto third = this->pool.find("s3");
