Use a server's last slot when leaving it free would waste half of the slots

Cause: a full server had to answer 1.2 times as much as one with its last slots free, whatever part of its slots that leaves idle.

--- a/Tests/Routing/ServicePoolTest.cpp
+++ b/Tests/Routing/ServicePoolTest.cpp
@@ -299,5 +299,13 @@
         CHECK(crowding.usefulSlots(1) >= 1);
     }
     DOUBLES_EQUAL_TEXT(3, CrowdingEstimate().usefulSlots(3), 0, "nothing is assumed");
+    CrowdingEstimate crowding;
+    for (int sample = 0; sample < 30; ++sample) {
+        crowding.add(1, 0.5);
+        crowding.add(1.7, 1);
+    }
+    DOUBLES_EQUAL_TEXT(2, crowding.usefulSlots(2), 0, "half of the slots would stay free");
+    DOUBLES_EQUAL(4, crowding.usefulSlots(6), 0);
+    DOUBLES_EQUAL(25, crowding.usefulSlots(32), 0);
     DOUBLES_EQUAL(1, CrowdingEstimate().usefulSlots(1), 0);
 }
