Hold a request back from servers where it would be late, and ask more of them

Cause: requests were sent knowingly to servers that said that work takes five times as long there now; they came late for certain and held one of two slots five times as long. Of many unheard servers one was taken rather than asked.

Change: ServerSearch says whom to ask, when enough is known and how slow is too slow for a request: slower than what its target leaves against what its route takes at servers that are well, so nothing is set for a site.

--- a/Benchmarks/Contender.cpp
+++ b/Benchmarks/Contender.cpp
@@ -42,6 +42,16 @@
     return { .name = name, .policies = std::make_shared<Factory<LoadAwarePolicy>>(true), .requests = requests };
 }
 
+/** Asks few servers and sends at once, however slow the best of them is. */
+Contender sendingAtOnce()
+{
+    Contender contender = own("burlreach-without-holding-back", true, true);
+    contender.requests.search.askedAtOnce = 3;
+    contender.requests.search.mostRounds = 1;
+    contender.requests.search.holdShare = 0;
+    return contender;
+}
+
 }
 
 std::vector<Contender> contenders()
@@ -53,6 +63,7 @@
         baseline<TwoChoicesPolicy>("two-choices"),
         own("burlreach-without-probes", false, true),
         own("burlreach-without-hedges", true, false),
+        sendingAtOnce(),
         own("burlreach", true, true),
     };
 }
--- a/Benchmarks/PolicyRun.cpp
+++ b/Benchmarks/PolicyRun.cpp
@@ -37,6 +37,7 @@
     "crowded-loss",
     "crowded-overload",
     "many-instances",
+    "slow-spells",
 };
 
 /** Work of several noisy spells; a full server answers fewer requests than one with a slot or two free. */
@@ -65,6 +66,22 @@
     .isFromFirst = true,
     .isCrowded = true };
 
+/**
+ * Work that began slowly stays slow and holds one of two slots five times as
+ * long; each instance sees two requests a second and learns little by itself.
+ */
+constexpr PolicyScene Spells{ .instances = 95,
+    .servers = 60,
+    .slots = 2,
+    .work = { 160 },
+    .kneeUse = 0.8,
+    .kneeFactor = 1.7,
+    .load = 0.45,
+    .target = { 400 },
+    .timeLeft = { 4000 },
+    .returns = 2,
+    .isNoisy = true };
+
 PolicyScene sceneOf(Disturbance disturbance)
 {
     PolicyScene scene;
@@ -88,6 +105,8 @@
         return Crowded;
     case Disturbance::ManyInstances:
         return Many;
+    case Disturbance::SlowSpells:
+        return Spells;
     default:
         return scene;
     }
--- a/Benchmarks/PolicyRun.h
+++ b/Benchmarks/PolicyRun.h
@@ -27,6 +27,7 @@
     CrowdedLoss, // the same servers at half load; four of ten say nothing any more
     CrowdedOverload, // the same servers, half as much again as they can do
     ManyInstances, // hundreds with few requests each, counted from the very first one
+    SlowSpells, // two slots each; a request that begins in a server's slow moment is late for certain
     Count
 };
 
--- a/Source/Attempts/AttemptRules.cpp
+++ b/Source/Attempts/AttemptRules.cpp
@@ -18,6 +18,22 @@
     return result != AttemptResult::TimedOut && history.mayHaveRun < route.mostAttempts;
 }
 
+RetryReason retryReasonOf(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::NotSent:
+        return RetryReason::NotSent;
+    case AttemptResult::RefusedNotRun:
+        return RetryReason::RefusedNotRun;
+    case AttemptResult::OtherServer:
+        return RetryReason::OtherServer;
+    case AttemptResult::ErrorAnswer:
+        return RetryReason::ErrorAnswer;
+    default:
+        return RetryReason::AnswerBroken;
+    }
+}
+
 bool mayHedge(const Route& route, const AttemptHistory& history)
 {
     return route.repeat == Repeat::MayRepeat && history.mayHaveRun < route.mostAttempts
--- a/Source/Attempts/AttemptRules.h
+++ b/Source/Attempts/AttemptRules.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Configuration/RoutingConfiguration.h"
+#include "Metrics/Reasons.h"
 #include "Routing/AttemptResult.h"
 
 namespace burlreach {
@@ -14,6 +15,9 @@
 /** True when a request may be sent once more after this end, apart from any budget. */
 bool mayTryAgain(const Route& route, const AttemptHistory& history, AttemptResult result);
 
+/** As what one more attempt after this end is counted. */
+RetryReason retryReasonOf(AttemptResult result);
+
 /** True when a second attempt may begin while the first is under way. */
 bool mayHedge(const Route& route, const AttemptHistory& history);
 
--- /dev/null
+++ b/Source/Measurement/ServerSearch.cpp
@@ -0,0 +1,113 @@
+#include "Measurement/ServerSearch.h"
+
+#include "Routing/LoadAwarePolicy.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+/** A server whose work takes at most this many times as long is not compared with slower answers. */
+constexpr double GoodWorkFactor = 1.25;
+/** With one more request it has no more of its slots taken: one of two, two of three, four of six. */
+constexpr double GoodUse = 0.67;
+/** Work that takes less than this many times as long is never held back for: the usual time is a mean. */
+constexpr double UsualWorkFactor = 1.5;
+
+}
+
+ServerSearch::ServerSearch(Options givenOptions, Parts givenParts)
+    : options(std::move(givenOptions))
+    , parts(givenParts)
+{
+}
+
+RequestSearch ServerSearch::begin(const Beginning& beginning, Milliseconds now) const
+{
+    RequestSearch search;
+    search.arrivedAt = now;
+    search.inTimeUntil = now + beginning.target - beginning.spent;
+    search.usualTime = beginning.usualTime;
+    // Also for callers that are late already: a slow server would hold its slot for others' times.
+    search.holdUntil = now + beginning.target * this->options.holdShare;
+    return search;
+}
+
+bool ServerSearch::ask(RequestSearch& search, const ServiceDescription& service, const ServicePool& pool,
+    const RoutingContext& context, std::vector<Probe>& questions) const
+{
+    if (search.rounds >= this->options.mostRounds)
+        return false;
+    unsigned known = 0;
+    for (const auto& server : pool.worthKnowing(this->options.askedAmong, context, *this->parts.random)) {
+        if (known == this->options.askedAtOnce)
+            break;
+        const Milliseconds age = context.now - server->report().at;
+        const bool isFresh = age <= this->options.figuresFreshFor;
+        if (isFresh || this->askOne(server, search, service, context.now, questions)
+            || age <= this->options.figuresTellFor)
+            ++known;
+    }
+    if (const auto leaving = pool.leavingOfLongAgo(context.now))
+        this->askOne(leaving, search, service, context.now, questions);
+    if (search.asked.empty())
+        return false;
+    ++search.rounds;
+    search.askUntil = context.now + this->options.longestAsking;
+    return true;
+}
+
+bool ServerSearch::mayAsk(const RequestSearch& search, Milliseconds now) const
+{
+    return search.rounds < this->options.mostRounds && now < search.holdUntil;
+}
+
+bool ServerSearch::askOne(const std::shared_ptr<BackendServerState>& server, RequestSearch& search,
+    const ServiceDescription& service, Milliseconds now, std::vector<Probe>& questions) const
+{
+    auto probe = this->parts.probes->start(server, service.probePath, service.probeShare, now);
+    if (probe) {
+        this->parts.counters->add(DecisionCount::ProbesSent);
+        questions.push_back(std::move(*probe));
+    } else if (!this->parts.probes->isUnderWay(server->id())) {
+        this->parts.counters->add(DecisionCount::ProbesDenied);
+        return false;
+    }
+    search.asked.push_back(server->id());
+    return true;
+}
+
+bool ServerSearch::isEnough(RequestSearch& search, const BackendServerState& server, Milliseconds now) const
+{
+    if (!std::erase(search.asked, server.id()))
+        return false;
+    return search.asked.empty() || this->isGoodEnough(server, search, now);
+}
+
+bool ServerSearch::isGoodEnough(const BackendServerState& server, const RequestSearch& search, Milliseconds now) const
+{
+    const ExpectedLoad load = expectedLoadOf(server, poolLoadOf({}), now);
+    const bool isNear = server.record().dataCentre == this->options.dataCentre;
+    const bool isTaker = server.takesNewRequests() && !server.isEjected(now) && !server.isOnTrial();
+    return isNear && isTaker && !server.isCold(now) && load.workFactor <= GoodWorkFactor
+        && (load.requests + 1) <= GoodUse * server.slots() && server.failureShare(now) == 0
+        && server.report().at >= search.arrivedAt;
+}
+
+double ServerSearch::longestWork(const RequestSearch& search, Milliseconds now) const
+{
+    if (now >= search.holdUntil)
+        return std::numeric_limits<double>::infinity();
+    return longestWorkInTime(search, now);
+}
+
+double ServerSearch::longestWorkInTime(const RequestSearch& search, Milliseconds now)
+{
+    const double inTime = (search.inTimeUntil - now) / std::max(search.usualTime, Milliseconds{ 1 });
+    return std::max(inTime, UsualWorkFactor);
+}
+
+}
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -64,6 +64,7 @@
 {
     RequestFlow::Options flow = options.requests;
     flow.dataCentre = options.dataCentre;
+    flow.search.dataCentre = options.dataCentre;
     return flow;
 }
 
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -31,31 +31,14 @@
 constexpr double LimitOfHedge = 0.6;
 /** Between two looks at a silent request: a timer each is cheap, also where answers take less than a millisecond. */
 constexpr Milliseconds ShortestHedgeInterval{ 20 };
-/** A server whose work takes at most this many times as long is not compared with slower answers. */
-constexpr double GoodWorkFactor = 1.25;
-constexpr double GoodUse = 0.67;
-
-RetryReason retryReasonOf(AttemptResult result)
-{
-    switch (result) {
-    case AttemptResult::NotSent:
-        return RetryReason::NotSent;
-    case AttemptResult::RefusedNotRun:
-        return RetryReason::RefusedNotRun;
-    case AttemptResult::OtherServer:
-        return RetryReason::OtherServer;
-    case AttemptResult::ErrorAnswer:
-        return RetryReason::ErrorAnswer;
-    default:
-        return RetryReason::AnswerBroken;
-    }
-}
 
 }
 
 RequestFlow::RequestFlow(Options givenOptions, Parts givenParts)
     : options(std::move(givenOptions))
     , parts(givenParts)
+    , search(this->options.search,
+          { .probes = givenParts.probes, .random = givenParts.random, .counters = givenParts.counters })
 {
 }
 
@@ -72,10 +55,11 @@
     return request.route->rank * 2 + (request.isLate ? 1 : 0);
 }
 
-ChoiceWish RequestFlow::wishOf(const RequestState& request)
+ChoiceWish RequestFlow::wishOf(const RequestState& request, Milliseconds now) const
 {
     return { .tried = request.tried,
         .mayTry = request.route->repeat == Repeat::MayRepeat,
+        .longestWork = this->search.longestWork(request.search, now),
         .limitShare = request.isLate ? LimitOfLate : 1 };
 }
 
@@ -97,9 +81,13 @@
         return this->refuse(request, RefusalReason::QueueFull, now, actions);
     request.service->retryBudget.firstAttempt(now);
     this->judgeCaller(request, event);
-    if (this->options.probes)
-        this->askForFigures(request, now, actions);
-    if (request.asked.empty())
+    request.search = this->search.begin({ .target = request.route->targetLatency,
+                                            .spent = request.spent,
+                                            .usualTime = request.service->usualTime(*request.route) },
+        now);
+    if (this->options.probes && this->askForFigures(request, now, actions))
+        request.phase = RequestPhase::Asking;
+    else
         this->enqueue(request, now, actions);
 }
 
@@ -141,63 +129,28 @@
     return request;
 }
 
-void RequestFlow::askForFigures(RequestState& request, Milliseconds now, Actions& actions)
-{
-    const ServicePool& pool = request.service->pool;
-    const auto candidates
-        = pool.worthKnowing(this->options.probedAmong, this->contextOf(request, now), *this->parts.random);
-    unsigned known = 0;
-    for (const auto& server : candidates) {
-        if (known == this->options.probedServers)
-            break;
-        const Milliseconds age = now - server->report().at;
-        const bool isFresh = age <= this->options.figuresFreshFor;
-        if (isFresh || this->askForFiguresOf(server, request, now, actions) || age <= this->options.figuresTellFor)
-            ++known;
-    }
-    if (const auto leaving = pool.leavingOfLongAgo(now))
-        this->askForFiguresOf(leaving, request, now, actions);
-    if (request.asked.empty())
-        return;
-    request.phase = RequestPhase::Asking;
-    request.askUntil = now + this->options.longestAsking;
-}
-
-bool RequestFlow::askForFiguresOf(
-    const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now, Actions& actions) const
+bool RequestFlow::askForFigures(RequestState& request, Milliseconds now, Actions& actions) const
 {
-    const ServiceDescription& service = request.service->description;
-    auto probe = this->parts.probes->start(server, service.probePath, service.probeShare, now);
-    if (probe) {
-        this->parts.counters->add(DecisionCount::ProbesSent);
-        actions.emplace_back(SendProbe{ .probe = std::move(*probe) });
-    } else if (!this->parts.probes->isUnderWay(server->id())) {
-        this->parts.counters->add(DecisionCount::ProbesDenied);
-        return false;
-    }
-    request.asked.push_back(server->id());
-    return true;
-}
-
-bool RequestFlow::isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const
-{
-    const PoolLoad pool = poolLoadOf({});
-    const ExpectedLoad load = expectedLoadOf(server, pool, now);
-    const bool isNear = server.record().dataCentre == this->options.dataCentre;
-    const bool isTaker = server.takesNewRequests() && !server.isEjected(now) && !server.isOnTrial();
-    return isNear && isTaker && !server.isCold(now) && load.workFactor <= GoodWorkFactor
-        && (load.requests + 1) <= GoodUse * server.slots() && server.failureShare(now) == 0
-        && server.report().at >= request.arrivedAt;
+    std::vector<Probe> questions;
+    const ServiceState& service = *request.service;
+    const bool isAsking
+        = this->search.ask(request.search, service.description, service.pool, this->contextOf(request, now), questions);
+    for (Probe& question : questions)
+        actions.emplace_back(SendProbe{ .probe = std::move(question) });
+    return isAsking;
 }
 
 void RequestFlow::figuresCame(const BackendServerState& server, Milliseconds now, Actions& actions)
 {
     std::vector<RequestNumber> ready;
+    std::vector<std::shared_ptr<ServiceState>> waiting;
     for (auto& [number, request] : this->requests) {
-        if (request.phase != RequestPhase::Asking || !std::erase(request.asked, server.id()))
+        if (!this->search.isEnough(request.search, server, now))
             continue;
-        if (request.asked.empty() || this->isGoodEnough(server, request, now))
+        if (request.phase == RequestPhase::Asking)
             ready.push_back(number);
+        else if (request.phase == RequestPhase::Waiting)
+            waiting.push_back(request.service);
     }
     std::sort(ready.begin(), ready.end());
     for (const RequestNumber number : ready) {
@@ -205,13 +158,14 @@
         if (found != this->requests.end() && found->second.phase == RequestPhase::Asking)
             this->enqueue(found->second, now, actions);
     }
+    for (const auto& service : waiting)
+        this->pump(*service, now, actions);
 }
 
 void RequestFlow::enqueue(RequestState& request, Milliseconds now, Actions& actions)
 {
     request.phase = RequestPhase::Waiting;
-    request.asked.clear();
-    request.askUntil = Never;
+    request.search.asked.clear();
     const std::shared_ptr<ServiceState> service = request.service;
     service->queue.push(placeOf(request), request.number);
     this->pump(*service, now, actions);
@@ -219,12 +173,13 @@
 
 void RequestFlow::pump(ServiceState& service, Milliseconds now, Actions& actions)
 {
+    std::vector<RequestNumber> held;
     while (const auto number = service.queue.pop()) {
         const auto found = this->requests.find(*number);
         if (found == this->requests.end())
             continue;
         RequestState& request = found->second;
-        Choice choice = service.pool.choose(this->wishOf(request), this->contextOf(request, now), *this->parts.random);
+        Choice choice = this->chooseOrAsk(request, now, actions);
         if (choice.server) {
             this->send(request, std::move(choice.server), now, actions);
             continue;
@@ -233,9 +188,38 @@
             this->refuse(request, RefusalReason::DataCentreEmptied, now, actions);
             continue;
         }
-        service.queue.pushFront(placeOf(request), *number);
-        return;
+        held.push_back(*number);
+        // Another one may still be in time where this one would be late.
+        if (choice.reason != NoChoice::Slow && choice.reason != NoChoice::Unheard)
+            break;
     }
+    for (auto number = held.rbegin(); number != held.rend(); ++number)
+        service.queue.pushFront(placeOf(this->requests.at(*number)), *number);
+}
+
+Choice RequestFlow::chooseOrAsk(RequestState& request, Milliseconds now, Actions& actions)
+{
+    const RoutingContext context = this->contextOf(request, now);
+    ServicePool& pool = request.service->pool;
+    ChoiceWish wish = this->wishOf(request, now);
+    wish.onlyHeard = this->options.probes && this->search.mayAsk(request.search, now);
+    Choice choice = pool.choose(wish, context, *this->parts.random);
+    const bool mayFindBetter = choice.reason == NoChoice::Slow || choice.reason == NoChoice::Unheard;
+    if (choice.server || !mayFindBetter || this->holdBack(request, now, actions) || !wish.onlyHeard)
+        return choice;
+    wish.onlyHeard = false;
+    return pool.choose(wish, context, *this->parts.random);
+}
+
+bool RequestFlow::holdBack(RequestState& request, Milliseconds now, Actions& actions) const
+{
+    // After the hold any server will do: it is sent rather than refused.
+    request.waitUntil = std::max(request.waitUntil, request.search.holdUntil + PumpInterval * 2);
+    const bool isAsking = !request.search.asked.empty() && now < request.search.askUntil;
+    if (isAsking || !this->options.probes)
+        return isAsking;
+    request.search.asked.clear();
+    return this->askForFigures(request, now, actions);
 }
 
 void RequestFlow::send(
@@ -252,6 +236,7 @@
     request.hedgeAt = isHedged ? now + this->hedgePatience(request) : Never;
     actions.emplace_back(recordOfSent(request, *server,
         { .version = this->parts.services->version(), .confirmedAt = this->parts.store->confirmedAt() }, now));
+    const bool isUnhindered = server->saidItIsWell(now);
     request.service->pool.sent(*server, *this->parts.random, now);
     server->sent(attempt, now);
     actions.emplace_back(SendAttempt{ .request = request.number,
@@ -261,7 +246,8 @@
         .timeLeft = request.deadline - now,
         .mayRepeat = request.route->repeat == Repeat::MayRepeat });
     request.tried.push_back(server);
-    request.flights.push_back({ .attempt = attempt, .server = std::move(server), .sentAt = now });
+    request.flights.push_back(
+        { .attempt = attempt, .server = std::move(server), .sentAt = now, .isUnhindered = isUnhindered });
 }
 
 std::shared_ptr<BackendServerState> RequestFlow::attemptEnded(
@@ -298,6 +284,8 @@
     }
     if (end.result == AttemptResult::Answered) {
         request.service->answered(*request.route, now - flight.sentAt);
+        if (flight.isUnhindered)
+            request.service->answeredUnhindered(*request.route, now - flight.sentAt);
         return;
     }
     actions.emplace_back(recordOfFailed(request, flight, end, now));
@@ -349,7 +337,7 @@
     if (now >= request.deadline || !mayTryAgain(*request.route, request.history, end.result))
         return false;
     Choice choice
-        = request.service->pool.choose(this->wishOf(request), this->contextOf(request, now), *this->parts.random);
+        = request.service->pool.choose(this->wishOf(request, now), this->contextOf(request, now), *this->parts.random);
     if (!choice.server && choice.reason == NoChoice::NobodyTakes)
         return false;
     if (needsBudget(end.result) && !request.service->retryBudget.take(now)) {
@@ -381,9 +369,13 @@
         return;
     // Without a server or budget now it is looked at again: its answer may never come, and nothing else would tell.
     request.hedgeAt = now + std::max(this->hedgePatience(request), ShortestHedgeInterval);
-    Choice choice = request.service->pool.choose(
-        { .tried = request.tried, .onlyUntried = true, .mayTry = false, .limitShare = LimitOfHedge },
-        this->contextOf(request, now), *this->parts.random);
+    Choice choice
+        = request.service->pool.choose({ .tried = request.tried,
+                                           .onlyUntried = true,
+                                           .mayTry = false,
+                                           .longestWork = ServerSearch::longestWorkInTime(request.search, now),
+                                           .limitShare = LimitOfHedge },
+            this->contextOf(request, now), *this->parts.random);
     if (!choice.server || !request.service->retryBudget.takeForHedge(now))
         return;
     this->parts.counters->add(RetryReason::Hedge);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -2,6 +2,7 @@
 
 #include "Base/Random.h"
 #include "Measurement/ProbeDesk.h"
+#include "Measurement/ServerSearch.h"
 #include "Metrics/DecisionCounters.h"
 #include "Node/Actions.h"
 #include "Node/Events.h"
@@ -30,12 +31,7 @@
         bool probes = true;
         bool hedges = true;
         bool freshFirst = true; // callers that can still be in time go before those that are late
-        unsigned probedServers = 3; // whose figures should be fresh before one choice
-        std::size_t probedAmong
-            = 24; // of the best by what is known; one that may not be asked now gives way to the next
-        Milliseconds figuresFreshFor{ 25 }; // younger figures are not asked for again
-        Milliseconds figuresTellFor{ 100 }; // who may not be asked now is replaced by another only when its are older
-        Milliseconds longestAsking{ 14 };
+        ServerSearch::Options search; // the data centre comes from above
         double waitShare = 0.22; // of the target latency that a request may wait for room
         double hedgeAfter = 2.2; // in expected times
         double latestHedge = 0.5; // of the target latency
@@ -73,14 +69,15 @@
     void judgeCaller(RequestState& request, const RequestArrived& event) const;
     /** Its rank in the queue: within a route's rank the late ones come last. */
     static std::uint32_t placeOf(const RequestState& request);
-    static ChoiceWish wishOf(const RequestState& request);
-    void askForFigures(RequestState& request, Milliseconds now, Actions& actions);
-    /** True when its answer will come; false when the budget does not allow the question. */
-    bool askForFiguresOf(const std::shared_ptr<BackendServerState>& server, RequestState& request, Milliseconds now,
-        Actions& actions) const;
-    bool isGoodEnough(const BackendServerState& server, const RequestState& request, Milliseconds now) const;
+    ChoiceWish wishOf(const RequestState& request, Milliseconds now) const;
+    /** True when figures are awaited. */
+    bool askForFigures(RequestState& request, Milliseconds now, Actions& actions) const;
     void enqueue(RequestState& request, Milliseconds now, Actions& actions);
     void pump(ServiceState& service, Milliseconds now, Actions& actions);
+    /** A server for a waiting request; while there is none others are asked as far as that may help. */
+    Choice chooseOrAsk(RequestState& request, Milliseconds now, Actions& actions);
+    /** True when answers to questions are awaited. */
+    bool holdBack(RequestState& request, Milliseconds now, Actions& actions) const;
     void send(RequestState& request, std::shared_ptr<BackendServerState> server, Milliseconds now, Actions& actions);
 
     void learn(
@@ -101,6 +98,7 @@
 
     Options options;
     Parts parts;
+    ServerSearch search;
     Requests requests;
     AttemptNumber lastAttempt = 0;
 };
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -2,6 +2,7 @@
 
 #include "Admission/WaitingQueue.h"
 #include "Attempts/AttemptRules.h"
+#include "Measurement/ServerSearch.h"
 #include "Node/ServiceState.h"
 
 #include <memory>
@@ -21,6 +22,7 @@
     AttemptNumber attempt = 0;
     std::shared_ptr<BackendServerState> server;
     Milliseconds sentAt;
+    bool isUnhindered = false; // the server had said that it had room and was not slow
 };
 
 /** A request from its arrival to its final answer. */
@@ -33,7 +35,6 @@
     Milliseconds arrivedAt;
     Milliseconds deadline; // the final answer is due
     Milliseconds waitUntil; // then it is refused rather than kept waiting
-    Milliseconds askUntil = Never; // then it is sent without further figures
     Milliseconds hedgeAt = Never;
     AttemptHistory history;
     unsigned attempts = 0;
@@ -42,13 +43,13 @@
     bool isLate = false; // its caller can hardly be in time any more
     std::vector<Flight> flights;
     std::vector<std::shared_ptr<BackendServerState>> tried;
-    std::vector<std::string> asked; // backend servers whose figures are awaited
+    RequestSearch search;
 
     Milliseconds nextDue() const
     {
         switch (this->phase) {
         case RequestPhase::Asking:
-            return std::min(this->askUntil, this->deadline);
+            return std::min(this->search.askUntil, this->deadline);
         case RequestPhase::Waiting:
             return std::min(this->waitUntil, this->deadline);
         case RequestPhase::Sending:
--- a/Source/Node/ServiceState.cpp
+++ b/Source/Node/ServiceState.cpp
@@ -10,6 +10,21 @@
 constexpr double GuessedShare = 0.4;
 constexpr double SampleShare = 0.05;
 
+using TimesByRoute = std::unordered_map<std::string, Milliseconds>;
+
+Milliseconds meanOf(const TimesByRoute& times, const Route& route)
+{
+    const auto known = times.find(route.name);
+    return known == times.end() ? route.targetLatency * GuessedShare : known->second;
+}
+
+void addTo(TimesByRoute& times, const Route& route, Milliseconds took)
+{
+    const auto [known, isFirst] = times.emplace(route.name, took);
+    if (!isFirst)
+        known->second = known->second + (took - known->second) * SampleShare;
+}
+
 }
 
 ServiceState::ServiceState(
@@ -30,8 +45,12 @@
 
 Milliseconds ServiceState::expectedTime(const Route& route) const
 {
-    const auto known = this->meanTimes.find(route.name);
-    return known == this->meanTimes.end() ? route.targetLatency * GuessedShare : known->second;
+    return meanOf(this->meanTimes, route);
+}
+
+Milliseconds ServiceState::usualTime(const Route& route) const
+{
+    return meanOf(this->usualTimes, route);
 }
 
 Milliseconds ServiceState::spentBefore(const Route& route, Milliseconds timeLeft)
@@ -41,9 +60,12 @@
 
 void ServiceState::answered(const Route& route, Milliseconds took)
 {
-    const auto [known, isFirst] = this->meanTimes.emplace(route.name, took);
-    if (!isFirst)
-        known->second = known->second + (took - known->second) * SampleShare;
+    addTo(this->meanTimes, route, took);
+}
+
+void ServiceState::answeredUnhindered(const Route& route, Milliseconds took)
+{
+    addTo(this->usualTimes, route, took);
 }
 
 }
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -31,6 +31,9 @@
     /** The mean time to answer of a route's requests; a guess from its target while none is known. */
     Milliseconds expectedTime(const Route& route) const;
     void answered(const Route& route, Milliseconds took);
+    /** The mean time to answer at servers that had room and were not slow; a guess while none is known. */
+    Milliseconds usualTime(const Route& route) const;
+    void answeredUnhindered(const Route& route, Milliseconds took);
     /** How long a caller that brings so much time has been trying before. */
     Milliseconds spentBefore(const Route& route, Milliseconds timeLeft);
 
@@ -43,6 +46,7 @@
 
 private:
     std::unordered_map<std::string, Milliseconds> meanTimes; // by route
+    std::unordered_map<std::string, Milliseconds> usualTimes; // by route
     std::unordered_map<std::string, CallerPatience> patience; // by route
 };
 
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -21,6 +21,8 @@
 /** How long the figures of a server count for nothing after a contradiction. */
 constexpr Milliseconds Distrust{ 1000 };
 constexpr double UsualPercent = 100;
+/** Work that takes up to so many percent of the usual time is not slow. */
+constexpr std::uint32_t WellPercent = 125;
 
 /** What the server said of the slowness of the moment. */
 double toldFactor(const AttemptEnd& end)
@@ -177,6 +179,12 @@
     ++this->failures;
 }
 
+bool BackendServerState::saidItIsWell(Milliseconds now) const
+{
+    return now - this->lastReport.at <= FreshFigures && this->lastReport.figures.workPercent <= WellPercent
+        && static_cast<double>(this->inFlight()) + this->lastReport.others < 1;
+}
+
 bool BackendServerState::leavingSign(bool says, Milliseconds at)
 {
     if (at <= this->leavingAt)
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -79,6 +79,8 @@
     unsigned ejections() const { return this->ejectionCount; }
     double failureShare(Milliseconds now) const;
 
+    /** It said just now that it has free slots, nothing to do and is not slow. */
+    bool saidItIsWell(Milliseconds now) const;
     const LoadReport& report() const { return this->lastReport; }
     /** False while a report contradicted what had been sent from here. */
     bool reportIsTrusted(Milliseconds now) const { return now >= this->distrustedUntil; }
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -13,6 +13,27 @@
 constexpr Milliseconds SilentPool{ 300 };
 /** A server that said it was leaving is asked again so often whether it still is. */
 constexpr Milliseconds LeavingAskedAgain{ 2000 };
+/**
+ * So long a server that said it is slow is taken at its word. Spells of noisy
+ * neighbours last some 150 ms: of servers that told it so long ago most are
+ * still slow, of those that told it earlier most are not.
+ */
+constexpr Milliseconds SlowToldFor{ 60 };
+constexpr double UsualPercent = 100;
+/** Older figures say little of the requests of the moment. */
+constexpr Milliseconds HeardLately{ 100 };
+
+bool isHeardLately(const BackendServerState& server, Milliseconds now)
+{
+    return now - server.report().at <= HeardLately;
+}
+
+bool isToldSlow(const BackendServerState& server, double longestWork, Milliseconds now)
+{
+    const LoadReport& report = server.report();
+    return now - report.at <= SlowToldFor && server.reportIsTrusted(now)
+        && report.figures.workPercent / UsualPercent > longestWork;
+}
 
 }
 
@@ -129,6 +150,15 @@
         candidates = takers;
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Full };
+    std::erase_if(candidates,
+        [&](const BackendServerState* server) { return isToldSlow(*server, wish.longestWork, context.now); });
+    if (candidates.empty())
+        return { .server = nullptr, .reason = NoChoice::Slow };
+    if (wish.onlyHeard)
+        std::erase_if(
+            candidates, [&](const BackendServerState* server) { return !isHeardLately(*server, context.now); });
+    if (candidates.empty())
+        return { .server = nullptr, .reason = NoChoice::Unheard };
     const BackendServerState* chosen = this->policy->choose(candidates, context, random);
     return { .server = this->find(chosen->id()), .reason = NoChoice::Full };
 }
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -7,6 +7,7 @@
 #include "Routing/RoutingPolicy.h"
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -17,6 +18,8 @@
 /** Why there was no backend server to choose. */
 enum class NoChoice {
     Full, // some take requests, but none has room now
+    Slow, // some have room, but said a moment ago that work takes too long there
+    Unheard, // others may have room, but were not heard lately
     NobodyTakes // none is there, or all are draining or leaving
 };
 
@@ -31,6 +34,8 @@
     std::span<const std::shared_ptr<BackendServerState>> tried; // others are preferred
     bool onlyUntried = false;
     bool mayTry = true; // a backend server on trial may be given the request
+    double longestWork = std::numeric_limits<double>::infinity(); // times as long as usual, as servers told it just now
+    bool onlyHeard = false; // backend servers that told their load lately
     double limitShare = 1; // of the requests that a server should be given at once; less: others go first
 };
 
--- /dev/null
+++ b/Tests/Measurement/ServerSearchTest.cpp
@@ -0,0 +1,127 @@
+#include "Measurement/ServerSearch.h"
+
+#include "Routing/LoadAwarePolicy.h"
+
+#include <cmath>
+#include <memory>
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr Milliseconds Target{ 400 };
+constexpr Milliseconds UsualTime{ 160 };
+constexpr Milliseconds Arrival{ 1000 };
+
+/** What a server told a moment ago, and whether a request may go there now. */
+struct Case {
+    const char* name;
+    Milliseconds spent; // by the caller before
+    Milliseconds waited;
+    std::uint32_t workPercent;
+    Milliseconds toldBefore;
+    bool isSent;
+};
+
+const std::vector<Case> Cases{
+    { "a server that is well", { 0 }, { 0 }, 100, { 5 }, true },
+    { "twice as long is still in time", { 0 }, { 0 }, 200, { 5 }, true },
+    { "five times as long is late", { 0 }, { 0 }, 500, { 5 }, false },
+    { "after waiting twice as long is late, too", { 0 }, { 100 }, 200, { 5 }, false },
+    { "it told so long ago that it may be well", { 0 }, { 0 }, 500, { 80 }, true },
+    { "a caller that is late already holds no slot for long", { 2000 }, { 0 }, 500, { 5 }, false },
+    { "a late caller goes where work takes its usual time", { 2000 }, { 0 }, 120, { 5 }, true },
+    { "after the hold any server is better than none", { 0 }, { 141 }, 500, { 5 }, true },
+};
+
+std::unique_ptr<ServicePool> poolOf(const std::vector<std::string>& ids)
+{
+    auto pool = std::make_unique<ServicePool>(std::make_unique<LoadAwarePolicy>(), ServicePool::Options{});
+    for (const std::string& id : ids) {
+        BackendServerRecord record;
+        record.id = id;
+        record.dataCentre = "dc-1";
+        record.slots = 2;
+        pool->put(record, { 0 });
+    }
+    return pool;
+}
+
+}
+
+TEST_GROUP(ServerSearch)
+{
+    Random random{ 1 };
+    DecisionCounters counters;
+    ProbeDesk probes{ { .fleetPerSecond = 600, .dataCentre = "dc-1" }, this->random };
+    ServerSearch search{ { .dataCentre = "dc-1" },
+        { .probes = &this->probes, .random = &this->random, .counters = &this->counters } };
+    ServiceDescription service{ .name = "bookings", .probePath = "/load" };
+
+    RequestSearch begin(Milliseconds spent = {}) const
+    {
+        return this->search.begin({ .target = Target, .spent = spent, .usualTime = UsualTime }, Arrival);
+    }
+};
+
+// Noisy neighbours: three of ten servers work five times as long, for 150 ms;
+// what begins there stays slow, is late and holds one of two slots meanwhile.
+TEST(ServerSearch, ARequestIsHeldBackFromAServerWhereItWouldBeLate)
+{
+    for (const Case& item : Cases) {
+        const auto pool = poolOf({ "s1" });
+        const Milliseconds now = Arrival + item.waited;
+        pool->find("s1")->reported({ .slots = 2, .workPercent = item.workPercent }, now - item.toldBefore);
+        const RequestSearch request = this->begin(item.spent);
+        const Choice choice = pool->choose({ .longestWork = this->search.longestWork(request, now) },
+            { .now = now, .dataCentre = "dc-1", .expected = UsualTime }, this->random);
+        CHECK_TEXT((choice.server != nullptr) == item.isSent, item.name);
+        CHECK_TEXT(item.isSent || choice.reason == NoChoice::Slow, item.name);
+    }
+}
+
+TEST(ServerSearch, AServerThatWasNotHeardIsAskedBeforeItIsChosen)
+{
+    const auto pool = poolOf({ "s1" });
+    const ChoiceWish wish{ .onlyHeard = true };
+    const RoutingContext context{ .now = Arrival, .dataCentre = "dc-1", .expected = UsualTime };
+    CHECK(pool->choose(wish, context, this->random).reason == NoChoice::Unheard);
+    pool->find("s1")->reported({ .slots = 2 }, Arrival);
+    CHECK(pool->choose(wish, context, this->random).server != nullptr);
+}
+
+TEST(ServerSearch, AsksInRoundsUntilTheyAreOver)
+{
+    const auto pool = poolOf({ "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8" });
+    RequestSearch request = this->begin();
+    for (unsigned round = 0; round < 6; ++round) {
+        CHECK(this->search.mayAsk(request, Arrival));
+        const RoutingContext context{ .now = Arrival + Milliseconds{ 10.0 * round }, .dataCentre = "dc-1" };
+        std::vector<Probe> questions;
+        CHECK(this->search.ask(request, this->service, *pool, context, questions));
+        CHECK(!questions.empty() && questions.size() <= 6);
+        for (const Probe& question : questions)
+            this->probes.ended(question.number);
+        request.asked.clear();
+    }
+    CHECK_FALSE(this->search.mayAsk(request, Arrival));
+}
+
+TEST(ServerSearch, OneGoodAnswerIsEnoughAndASlowOneIsNot)
+{
+    const auto pool = poolOf({ "s1", "s2" });
+    RequestSearch request = this->begin();
+    request.asked = { "s1", "s2" };
+    const Milliseconds now = Arrival + Milliseconds{ 3 };
+    pool->find("s1")->reported({ .slots = 2, .workPercent = 500 }, now);
+    CHECK_FALSE(this->search.isEnough(request, *pool->find("s1"), now));
+    CHECK_FALSE_TEXT(this->search.isEnough(request, *pool->find("s1"), now), "it was not awaited any more");
+    request.asked = { "s1", "s2" };
+    pool->find("s2")->reported({ .slots = 2, .workPercent = 100 }, now);
+    CHECK(this->search.isEnough(request, *pool->find("s2"), now));
+}
