Peers: give up connecting to a dark machine after 250 ms and try again

Cause: a connection to a machine without power says nothing, and the link had no time-out of its own: it was tried again when the system sent its opening packet again, after a second and more, and all messages waited.

--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -1,5 +1,10 @@
 #include "Peers/PeerLink.h"
 
+#include "Base/ChronoDuration.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace burlreach {
 
 PeerLink::PeerLink(asio::io_context& givenContext, const Clock& givenClock, NetworkAddress givenAddress,
@@ -9,6 +14,7 @@
     , address(std::move(givenAddress))
     , options(givenOptions)
     , metrics(&givenMetrics)
+    , connectTimer(givenContext)
     , lastSend(givenClock.now())
     , lastAnswered(givenClock.now())
 {
@@ -48,12 +54,36 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(this->address.host, error), this->address.port);
     socket->async_connect(endpoint, [self = this->shared_from_this(), socket](const asio::error_code& failure) {
         self->isConnecting = false;
+        self->connectTimer.cancel();
         if (failure)
-            return;
+            return self->connectAgain();
         self->session
             = std::make_shared<PeerClientSession>(std::move(*socket), Http2Session::Side::Client, *self->metrics);
         self->connected();
     });
+    this->watchConnecting(socket);
+}
+
+void PeerLink::watchConnecting(const std::shared_ptr<asio::ip::tcp::socket>& socket)
+{
+    this->connectTimer.expires_after(toDuration(this->options.connectTimeout));
+    this->connectTimer.async_wait([socket](const asio::error_code& cancelled) {
+        asio::error_code ignored;
+        if (!cancelled)
+            socket->close(ignored);
+    });
+}
+
+void PeerLink::connectAgain()
+{
+    if (this->waiting.empty())
+        return;
+    const Milliseconds pause = std::max(Milliseconds{}, this->nextConnect - this->clock->now());
+    this->connectTimer.expires_after(toDuration(pause));
+    this->connectTimer.async_wait([self = this->shared_from_this()](const asio::error_code& cancelled) {
+        if (!cancelled && !self->waiting.empty())
+            self->connect();
+    });
 }
 
 void PeerLink::connected()
@@ -93,6 +123,7 @@
         this->session->close();
     this->session.reset();
     this->waiting.clear();
+    this->connectTimer.cancel();
 }
 
 }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -6,6 +6,8 @@
 #include "Peers/PeerClientSession.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
 #include <string>
@@ -22,6 +24,8 @@
     struct Options {
         Milliseconds messageDeadline{ 2000 };
         Milliseconds reconnectGap{ 200 };
+        /** A machine that is dark says nothing, and the system would try again only after a second. */
+        Milliseconds connectTimeout{ 250 };
         Milliseconds idle{ 15000 };
         std::size_t mostWaiting = 512;
     };
@@ -41,6 +45,9 @@
     };
 
     void connect();
+    /** Ends a connecting that takes too long, and begins another one while there is something to send. */
+    void watchConnecting(const std::shared_ptr<asio::ip::tcp::socket>& socket);
+    void connectAgain();
     void connected();
     void drop(std::size_t count);
 
@@ -51,6 +58,7 @@
     TrafficMetrics* metrics;
     std::shared_ptr<PeerClientSession> session;
     std::deque<Waiting> waiting;
+    asio::steady_timer connectTimer;
     bool isConnecting = false;
     Milliseconds nextConnect = LongAgo;
     Milliseconds lastSend;
