Test runner: switch to the thread-safe overloads before the first thread

Cause of a crash seen once (PullPlan, no output): the runner used a server on a thread of its own before it made the leak check's overloads thread-safe, so two threads changed its list at once (kernel log: a read at 0x700 in the list walk). The overloads are switched first now.

--- a/Tests/RunAllTests.cc
+++ b/Tests/RunAllTests.cc
@@ -65,10 +65,10 @@
 
 int main(int argc, char** argv)
 {
+    // Some tests, and what comes next here, have servers on threads of their own; the usual overloads lose count of
+    // what two threads allocate at once, or crash.
+    MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
     prepareLibraries();
     useHttpOnce();
-    // Some tests have servers on threads of their own; the usual overloads lose count of what two threads allocate at
-    // once.
-    MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
     return CommandLineTestRunner::RunAllTests(argc, argv);
 }
