--- a/Benchmarks/Bench.cc
+++ b/Benchmarks/Bench.cc
@@ -1,7 +1,6 @@
 // Runs the benchmarks in virtual time and prints one JSON object. --check FILE
 // compares with committed bounds and exits 1 past one.
 
-#include "Benchmarks/FleetSlopes.h"
 #include "Benchmarks/PolicyRun.h"
 #include "Tests/Virtual/ParallelRuns.h"
 
@@ -101,25 +100,6 @@
     return figures;
 }
 
-json fleetFigures()
-{
-    constexpr std::size_t sizes[] = { 3, 18, 60, 142 };
-    std::vector<FleetCost> costs(std::size(sizes));
-    runInParallel(
-        costs.size(), [&](std::size_t index) { costs[index] = measureFleet(sizes[index], sizes[index] * 2); });
-    json figures;
-    for (const FleetCost& cost : costs)
-        figures[std::to_string(cost.instances)] = {
-            { "backend_servers", cost.servers },
-            { "messages_per_instance_second", rounded(cost.messages) },
-            { "bytes_per_instance_second", rounded(cost.bytes) },
-            { "messages_of_the_busiest_second", rounded(cost.mostMessages) },
-            { "store_calls_of_all_second", rounded(cost.storeCalls) },
-            { "change_in_force_everywhere_milliseconds", rounded(cost.spreadMilliseconds) },
-        };
-    return figures;
-}
-
 /** Bounds by JSON pointer, each with at_most or at_least. */
 int check(const json& figures, const std::string& path)
 {
@@ -147,10 +127,9 @@
     std::string bounds;
     program.add_option("--check", bounds, "Compare with the bounds in this file");
     std::string part;
-    program.add_option("--case", part, "Only the policy cases whose names hold this, without the fleet's slopes");
+    program.add_option("--case", part, "Only the policy cases whose names hold this");
     CLI11_PARSE(program, argc, argv);
-    const json figures = part.empty() ? json{ { "policy", policyFigures(part) }, { "fleet", fleetFigures() } }
-                                      : json{ { "policy", policyFigures(part) } };
+    const json figures{ { "policy", policyFigures(part) } };
     std::cout << figures.dump(1) << '\n';
     return bounds.empty() ? 0 : check(figures, bounds);
 }
