A record that says nothing new of coldness does not end it

Found by a new test of a whole fleet under load: when a data centre was taken back its servers were taken for cold, and the very document that said so, read on, made them warm again, since its records say nothing of cold times. So 40 instances sent a server more than it bears (the bound of 3 a second and 8 more). With the users' form the same happens when a record is written anew for another reason during the assumed cold time.

Change: only a record that said cold before and does not any more ends it.

Test ColdServers: calm, after a loss of all, half of the instances cut off; and the bound breaks where none is named.

--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -44,8 +44,13 @@
 
 void BackendServerState::configure(const BackendServerRecord& record, Milliseconds now)
 {
+    // A record that says nothing new of it does not end a cold time that is known otherwise.
+    const bool isToldWarm = this->description.coldRemaining.count > 0;
     this->description = record;
-    this->coldUntil = record.coldRemaining.count > 0 ? now + record.coldRemaining : LongAgo;
+    if (record.coldRemaining.count > 0)
+        this->coldUntil = now + record.coldRemaining;
+    else if (isToldWarm)
+        this->coldUntil = LongAgo;
 }
 
 double BackendServerState::slots() const
