--- a/Source/Routing/ColdStartShare.cpp
+++ b/Source/Routing/ColdStartShare.cpp
@@ -11,7 +11,7 @@
  * so within any second no instance spends what two windows dealt. The requests
  * of a second are then a sum of independent draws with the mean that the server
  * bears; more than eight beyond one and a half times of 2.5 come once in some
- * sixty thousand windows in which every instance uses what it was dealt.
+ * sixty thousand windows in which every instance uses what it was dealt (worked out).
  */
 constexpr Milliseconds Window{ 1250 };
 /** As if there were at least so many, so that few instances do not take whole requests each at once. */
