Sight: tell which request was under way where a connection broke

Lines held only ids, which are new with each attempt of a caller, so nobody could see that one request was there at each end. A digest of host, method, path, caller and body, the path and the caller's address are told with an attempt whose connection broke. The address comes with the accept, without a call of its own. No decision uses them yet.

--- /dev/null
+++ b/Source/Crashes/RequestDigest.cpp
@@ -0,0 +1,46 @@
+#include "Crashes/RequestDigest.h"
+
+#include <array>
+#include <xxhash.h>
+
+namespace burlreach {
+
+namespace {
+
+constexpr std::size_t PartCount = 5;
+
+/** Each part by itself, so that bytes that move from one part to the next make another request. */
+std::array<XXH128_hash_t, PartCount> hashesOf(const RequestIdentity& identity)
+{
+    const auto hash = [](std::string_view part) { return XXH3_128bits(part.data(), part.size()); };
+    return { hash(identity.host), hash(identity.method), hash(identity.path), hash(identity.caller),
+        hash(identity.body) };
+}
+
+void appendHex(std::string& text, std::uint64_t value)
+{
+    constexpr int bitsOfDigit = 4;
+    constexpr int bits = 64;
+    constexpr std::string_view digits = "0123456789abcdef";
+    for (int shift = bits - bitsOfDigit; shift >= 0; shift -= bitsOfDigit)
+        text += digits[(value >> static_cast<unsigned>(shift)) % digits.size()];
+}
+
+}
+
+RequestDigest digestOf(const RequestIdentity& identity)
+{
+    const auto hashes = hashesOf(identity);
+    const XXH128_hash_t all = XXH3_128bits(hashes.data(), sizeof hashes);
+    return { .high = all.high64, .low = all.low64 };
+}
+
+std::string RequestDigest::text() const
+{
+    std::string text;
+    appendHex(text, this->high);
+    appendHex(text, this->low);
+    return text;
+}
+
+}
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -69,16 +69,16 @@
 
 void HttpListener::accept()
 {
-    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    this->acceptor.async_accept(this->caller, [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
         // It may have been taken just before the listening ended; dropping it would reset it.
         if (!error)
-            this->accepted(std::move(socket));
+            this->accepted(std::move(socket), this->caller);
         if (this->acceptor.is_open())
             this->accept();
     });
 }
 
-void HttpListener::accepted(asio::ip::tcp::socket socket)
+void HttpListener::accepted(asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& from)
 {
     if (this->open.size() >= this->mostSessions)
         this->forgetClosed();
@@ -88,7 +88,8 @@
         return;
     }
     const auto session = std::make_shared<HttpSession>(
-        std::move(socket), ++this->lastNumber, *this->handler, *this->clock, this->limits);
+        HttpSession::Accepted{ .socket = std::move(socket), .caller = from.address().to_string() }, ++this->lastNumber,
+        *this->handler, *this->clock, this->limits);
     if (this->closesAfterAnswers)
         session->closeAfterAnswer();
     this->acceptedAt = this->clock->now();
@@ -110,9 +111,10 @@
     this->acceptor.non_blocking(true, error);
     while (!error) {
         asio::ip::tcp::socket socket(this->acceptor.get_executor());
-        this->acceptor.accept(socket, error);
+        asio::ip::tcp::endpoint from;
+        this->acceptor.accept(socket, from, error);
         if (!error)
-            this->accepted(std::move(socket));
+            this->accepted(std::move(socket), from);
     }
 }
 
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -47,13 +47,14 @@
 
 private:
     void accept();
-    void accepted(asio::ip::tcp::socket socket);
+    void accepted(asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& from);
     /** Those that wait to be accepted. */
     void takeWaiting();
     void forgetClosed();
     bool hasRested(const HttpSession& session) const;
 
     asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::endpoint caller; // of the connection that comes next
     HttpSessionHandler* handler;
     const Clock* clock;
     HttpSessionLimits limits;
--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -26,9 +26,10 @@
 
 }
 
-HttpSession::HttpSession(asio::ip::tcp::socket givenSocket, std::uint64_t givenNumber, HttpSessionHandler& givenHandler,
+HttpSession::HttpSession(Accepted accepted, std::uint64_t givenNumber, HttpSessionHandler& givenHandler,
     const Clock& givenClock, const HttpSessionLimits& givenLimits)
-    : socket(std::move(givenSocket))
+    : socket(std::move(accepted.socket))
+    , callerAddress(std::move(accepted.caller))
     , sessionNumber(givenNumber)
     , handler(&givenHandler)
     , clock(&givenClock)
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -70,7 +70,13 @@
  */
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
-    HttpSession(asio::ip::tcp::socket socket, std::uint64_t number, HttpSessionHandler& handler, const Clock& clock,
+    /** A connection that came from a caller's address. */
+    struct Accepted {
+        asio::ip::tcp::socket socket;
+        std::string caller; // its address, without the port
+    };
+
+    HttpSession(Accepted accepted, std::uint64_t number, HttpSessionHandler& handler, const Clock& clock,
         const HttpSessionLimits& limits);
 
     void start();
@@ -83,6 +89,7 @@
     void tend(Milliseconds now);
 
     std::uint64_t number() const { return this->sessionNumber; }
+    const std::string& caller() const { return this->callerAddress; }
     bool isOpen() const { return this->socket.is_open(); }
     /** An answer is awaited or not yet written whole. */
     bool isUnfinished() const { return !this->answers.isEmpty() || !this->output.empty(); }
@@ -116,6 +123,7 @@
     void abandon();
 
     asio::ip::tcp::socket socket;
+    std::string callerAddress;
     std::uint64_t sessionNumber;
     HttpSessionHandler* handler;
     const Clock* clock;
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -3,6 +3,7 @@
 #include "Admission/WaitingQueue.h"
 #include "Base/NetworkAddress.h"
 #include "Configuration/ChangeListener.h"
+#include "Crashes/RequestDigest.h"
 #include "Measurement/ProbeDesk.h"
 #include "Metrics/Reasons.h"
 #include "Routing/AttemptResult.h"
@@ -28,6 +29,8 @@
     std::string requestId; // empty: the caller gave none
     std::optional<Milliseconds> timeLeft; // until the caller's deadline, when it gave one
     std::size_t bodyBytes = 0;
+    std::string caller; // the address from which it came, without the port
+    RequestDigest digest; // not known: nothing is remembered of it
 };
 
 /** A request was refused before its decisions began; it is only counted. */
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -121,6 +121,9 @@
     RequestState& request = this->requests[event.request];
     request.number = event.request;
     request.requestId = event.requestId;
+    request.digest = event.digest;
+    request.path = event.path;
+    request.caller = event.caller;
     request.service = this->parts.services->serviceFor(*route);
     request.arrivedAt = now;
     request.deadline = now + std::min(event.timeLeft.value_or(Never), route->timeout);
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -48,11 +48,15 @@
 DecisionRecord recordOfFailed(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
 {
-    return recordOfRequest(RecordTopic::Refusal, "attempt_failed", request)
-        .with("server", flight.server->id())
+    DecisionRecord record = recordOfRequest(RecordTopic::Refusal, "attempt_failed", request);
+    record.with("server", flight.server->id())
         .with("result", burlreach::nameOf(end.result))
         .with("status", static_cast<std::uint64_t>(end.status))
         .with("took", (now - flight.sentAt).count);
+    // The server may have ended under it: whoever looks for the cause needs to know the same request again.
+    if (end.result == AttemptResult::Broken)
+        record.with("path", request.path).with("caller", request.caller).with("digest", request.digest.text());
+    return record;
 }
 
 DecisionRecord recordOfAnswered(
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -2,6 +2,7 @@
 
 #include "Admission/WaitingQueue.h"
 #include "Attempts/AttemptRules.h"
+#include "Crashes/RequestDigest.h"
 #include "Measurement/ServerSearch.h"
 #include "Node/ServiceState.h"
 
@@ -29,6 +30,9 @@
 struct RequestState {
     RequestNumber number = 0;
     std::string requestId;
+    RequestDigest digest;
+    std::string path;
+    std::string caller;
     std::shared_ptr<const Route> route;
     std::shared_ptr<ServiceState> service;
     RequestPhase phase = RequestPhase::Waiting;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -84,6 +84,12 @@
     if (words.timeLeft)
         event.timeLeft = std::max(Milliseconds{}, *words.timeLeft - (now - read.readAt));
     event.bodyBytes = message.body().size();
+    event.caller = session->caller();
+    event.digest = digestOf({ .host = event.host,
+        .method = event.method,
+        .path = event.path,
+        .caller = event.caller,
+        .body = message.body() });
     Request& request = this->requests[number];
     request.session = session;
     request.place = read.number;
