--- /dev/null
+++ b/Tests/Node/CrashingRequestTest.cpp
@@ -0,0 +1,203 @@
+// Seen: within a third of a second six of seven roster servers ended, each 50 to
+// 140 ms after the same read had come to it; the seventh followed. They were
+// back after three seconds and ended again, one or two at a time, 24 in all.
+// How it came about: one request ends the process of each server that runs it.
+// It was tried at another server, and its caller sent it again, with another id,
+// at other instances.
+// Cause: instances judged servers only. What one of them saw of a request ended
+// with its answer, and no other one heard of it.
+// Proof: at each end the same path, caller and body was under way, and the other
+// requests there varied.
+
+#include "Tests/Virtual/VirtualFleet.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr std::size_t Servers = 7;
+constexpr std::size_t Struck = 1; // the instance at which faults strike
+constexpr std::size_t EndsThatProve = 3;
+constexpr std::size_t MostSentLater = 3;
+/** Later than this after the third end every instance that is in touch must know. */
+constexpr Milliseconds Contact{ 3000 };
+constexpr Milliseconds Settling{ 4000 };
+constexpr Milliseconds Gap{ 20 };
+/** The request comes again this often, at another instance each time. */
+constexpr Milliseconds ReturnsEvery{ 160 };
+constexpr Milliseconds Watched{ 20000 };
+
+const VirtualRequest Harmful{ .path = "/crews/7", .caller = "10.0.2.7", .body = "x", .crashesServers = true };
+
+/** What happens around the ends; times count from the first arrival of the request. */
+struct Case {
+    const char* name;
+    std::size_t instances;
+    std::function<void(VirtualFleet&)> plan;
+    Milliseconds toPeer{ 1 };
+    Milliseconds struckInTouchAt; // the struck instance counts from here on
+};
+
+/** Does something so long from now on. */
+void later(VirtualFleet& fleet, Milliseconds span, std::function<void(VirtualFleet&)> action)
+{
+    fleet.clock().after(span, [&fleet, action = std::move(action)] { action(fleet); });
+}
+
+void nothing(VirtualFleet&) { }
+
+void beginLater(VirtualFleet& fleet)
+{
+    fleet.kill(Struck);
+    later(fleet, { 6000 }, [](VirtualFleet& all) { all.start(Struck); });
+}
+
+void standStill(VirtualFleet& fleet)
+{
+    fleet.freeze(Struck);
+    later(fleet, { 8000 }, [](VirtualFleet& all) { all.wake(Struck); });
+}
+
+void cutOff(VirtualFleet& fleet)
+{
+    fleet.cutFromPeers(Struck, true);
+    later(fleet, { 8000 }, [](VirtualFleet& all) { all.cutFromPeers(Struck, false); });
+}
+
+void loseAll(VirtualFleet& fleet)
+{
+    later(fleet, { 5000 }, [](VirtualFleet& all) {
+        for (std::size_t instance = 0; instance < all.size(); ++instance) {
+            all.kill(instance);
+            all.start(instance);
+        }
+    });
+}
+
+void loseWatchers(VirtualFleet& fleet)
+{
+    later(fleet, { 400 }, [](VirtualFleet& all) {
+        for (std::size_t instance = 0; instance < all.size(); ++instance) {
+            if (!all.isAlive(instance) || !all.node(instance).isWatching())
+                continue;
+            all.kill(instance);
+            all.start(instance);
+        }
+    });
+}
+
+void loseStore(VirtualFleet& fleet)
+{
+    fleet.theStore().setFault(StoreFault::Down);
+    later(fleet, { 9000 }, [](VirtualFleet& all) { all.theStore().setFault(StoreFault::None); });
+}
+
+const std::vector<Case> Cases{
+    { .name = "three", .instances = 3, .plan = nothing },
+    { .name = "eighteen", .instances = 18, .plan = nothing },
+    { .name = "eighteen, late news", .instances = 18, .plan = nothing, .toPeer = { 300 } },
+    { .name = "ninety-five, late news", .instances = 95, .plan = nothing, .toPeer = { 150 } },
+    { .name = "hundreds", .instances = 473, .plan = nothing },
+    { .name = "one begins", .instances = 18, .plan = beginLater, .struckInTouchAt = { 9000 } },
+    { .name = "one of three begins", .instances = 3, .plan = beginLater, .struckInTouchAt = { 9000 } },
+    { .name = "one is suspended", .instances = 18, .plan = standStill, .struckInTouchAt = { 11000 } },
+    { .name = "one of three is suspended", .instances = 3, .plan = standStill, .struckInTouchAt = { 11000 } },
+    { .name = "one is cut off from the others", .instances = 18, .plan = cutOff, .struckInTouchAt = { 11000 } },
+    { .name = "all are lost", .instances = 18, .plan = loseAll },
+    { .name = "all of ninety-five are lost", .instances = 95, .plan = loseAll },
+    { .name = "the watchers are lost", .instances = 18, .plan = loseWatchers },
+    { .name = "the store is away", .instances = 18, .plan = loseStore },
+};
+
+/** A fleet under load to which the request comes again and again, at all instances by turns. */
+class StruckFleet {
+public:
+    explicit StruckFleet(const Case& item)
+        : fleet({ .instances = item.instances, .toPeer = item.toPeer })
+        , struckInTouchAt(item.struckInTouchAt)
+    {
+        for (std::size_t server = 0; server < Servers; ++server)
+            this->fleet.addServer({ .id = "s" + std::to_string(server), .work = { 60 }, .workSpread = 0.5 });
+        this->fleet.configure(virtualConfiguration(this->fleet.serverIds(), 1));
+        this->fleet.startAll();
+        this->fleet.run(Settling);
+        this->begunAt = this->fleet.now();
+        item.plan(this->fleet);
+    }
+
+    void load(Milliseconds span)
+    {
+        const Milliseconds end = this->fleet.now() + span;
+        while (this->fleet.now() < end) {
+            const std::size_t number = this->turn++;
+            // Others read the same crew, from elsewhere; and the same caller reads others.
+            const bool isOther = number % 2;
+            this->fleet.send(number % this->fleet.size(),
+                { .path = isOther ? Harmful.path : "/crews/8", .caller = isOther ? "10.0.2.8" : Harmful.caller });
+            if (this->fleet.now() >= this->nextReturn) {
+                this->fleet.send(this->returns++ * 7 % this->fleet.size(), Harmful);
+                this->nextReturn = this->fleet.now() + ReturnsEvery;
+            }
+            this->fleet.run(Gap);
+        }
+    }
+
+    /** Ends of all servers, in the order of their times. */
+    std::vector<Milliseconds> ends() const
+    {
+        std::vector<Milliseconds> times;
+        for (const std::string& id : this->fleet.serverIds()) {
+            const auto& some = this->fleet.server(id).crashes();
+            times.insert(times.end(), some.begin(), some.end());
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    /** Times that the request was sent to a server after it should have been known everywhere. */
+    std::size_t sentLater() const
+    {
+        const std::vector<Milliseconds> times = this->ends();
+        if (times.size() < EndsThatProve)
+            return 0;
+        const Milliseconds known = times[EndsThatProve - 1] + Contact;
+        const auto& sent = this->fleet.sentAttempts();
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [&](const SentAttempt& attempt) {
+            const bool isInTouch = attempt.instance != Struck || attempt.at >= this->begunAt + this->struckInTouchAt;
+            return attempt.crashesServers && attempt.isListening && isInTouch && attempt.at > known;
+        }));
+    }
+
+    VirtualFleet fleet;
+
+private:
+    Milliseconds struckInTouchAt;
+    Milliseconds begunAt;
+    std::size_t turn = 0;
+    std::size_t returns = 0;
+    Milliseconds nextReturn = LongAgo;
+};
+
+}
+
+TEST_GROUP(CrashingRequest){};
+
+TEST(CrashingRequest, IsSentAtMostThreeTimesMoreByTheWholeFleet)
+{
+    for (const Case& item : Cases) {
+        StruckFleet struck(item);
+        struck.load(Watched);
+        CHECK_TEXT(struck.ends().size() >= EndsThatProve, item.name);
+        const std::string found = std::string(item.name) + ": sent " + std::to_string(struck.sentLater())
+            + " times more, " + std::to_string(struck.ends().size()) + " servers ended";
+        CHECK_TEXT(struck.sentLater() <= MostSentLater, found.c_str());
+    }
+}
--- a/Tests/Virtual/VirtualBackendServer.cpp
+++ b/Tests/Virtual/VirtualBackendServer.cpp
@@ -57,18 +57,24 @@
     job.done(word);
 }
 
-void VirtualBackendServer::receive(
-    const std::string& requestId, const std::string& expectedServer, std::uint64_t attempt, Done done)
+void VirtualBackendServer::receive(const Arrival& arrival, Done done)
 {
     ++this->arrivalCount;
-    const Job job{ .requestId = requestId, .attempt = attempt, .done = std::move(done), .left = {} };
-    if (this->present == ServerFault::Replaced || expectedServer != this->options.id)
+    const Job job{ .requestId = arrival.requestId,
+        .attempt = arrival.attempt,
+        .done = std::move(done),
+        .left = {},
+        .crashesServers = arrival.crashesServers };
+    // It ended while the request was on the way.
+    if (this->present == ServerFault::Dead)
+        return this->tell(job, AttemptResult::Broken);
+    if (this->present == ServerFault::Replaced || arrival.expectedServer != this->options.id)
         return this->tell(job, AttemptResult::OtherServer);
     const bool isFull = this->waiting.size() >= this->options.queue && this->running.size() >= this->options.slots;
     if (this->present == ServerFault::Refuses || isFull)
         return this->tell(job, AttemptResult::RefusedNotRun);
     if (this->present == ServerFault::Fails) {
-        ++this->runs[requestId];
+        ++this->runs[arrival.requestId];
         return this->tell(job, AttemptResult::ErrorAnswer);
     }
     this->waiting.push_back(job);
@@ -119,8 +125,11 @@
         if (job.left <= NoWork)
             finished.push_back(job);
     }
-    for (const Job& job : finished)
+    for (const Job& job : finished) {
+        if (job.crashesServers)
+            return this->crash();
         this->finish(job);
+    }
     this->startNext();
 }
 
@@ -152,6 +161,16 @@
     this->tell(job, this->present == ServerFault::LosesAnswers ? AttemptResult::Broken : AttemptResult::Answered);
 }
 
+void VirtualBackendServer::crash()
+{
+    this->crashTimes.push_back(this->time->now());
+    this->setFault(ServerFault::Dead);
+    this->time->after(this->options.restart, [this] {
+        if (this->present == ServerFault::Dead)
+            this->setFault(ServerFault::None);
+    });
+}
+
 void VirtualBackendServer::cancel(std::uint64_t attempt)
 {
     this->advance();
--- a/Tests/Virtual/VirtualBackendServer.h
+++ b/Tests/Virtual/VirtualBackendServer.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace burlreach {
 
@@ -40,6 +41,14 @@
 public:
     using Done = std::function<void(const ServerWord&)>;
 
+    /** A request as it comes to the server. */
+    struct Arrival {
+        std::string requestId;
+        std::string expectedServer;
+        std::uint64_t attempt = 0;
+        bool crashesServers = false; // the server's process ends when it has worked on it
+    };
+
     struct Options {
         std::string id;
         std::size_t slots = 3;
@@ -49,12 +58,13 @@
         bool changesSpeedAtWork = false; // else a request keeps the speed at which it began
         double kneeUse = 1; // of its slots; with more taken all work there is slower
         double kneeFactor = 1; // how many times longer work then takes
+        Milliseconds restart{ 3000 }; // after a crash the process is there again
     };
 
     VirtualBackendServer(Options options, VirtualTime& time, std::uint64_t seed);
 
     /** A request arrived; the word comes later, or never. */
-    void receive(const std::string& requestId, const std::string& expectedServer, std::uint64_t attempt, Done done);
+    void receive(const Arrival& arrival, Done done);
     void cancel(std::uint64_t attempt);
     /** Nothing when it does not answer probes. */
     std::optional<LoadFigures> probed() const;
@@ -70,6 +80,8 @@
     const std::string& id() const { return this->options.id; }
     const std::map<std::string, int>& journal() const { return this->runs; }
     std::size_t arrivals() const { return this->arrivalCount; }
+    /** When the process ended under a request that crashes servers. */
+    const std::vector<Milliseconds>& crashes() const { return this->crashTimes; }
 
 private:
     struct Job {
@@ -77,6 +89,7 @@
         std::uint64_t attempt = 0;
         Done done;
         Milliseconds left; // of its work, at the usual speed
+        bool crashesServers = false;
     };
 
     void startNext();
@@ -89,6 +102,7 @@
     void planNextEnd();
     void endFinished();
     void finish(const Job& job);
+    void crash();
     void tell(const Job& job, AttemptResult result);
     LoadFigures figures() const;
 
@@ -102,6 +116,7 @@
     std::uint64_t plan = 0; // grows with each planned end; earlier ones count no more
     Milliseconds advancedAt;
     std::size_t arrivalCount = 0;
+    std::vector<Milliseconds> crashTimes;
     std::map<std::uint64_t, Job> running;
     std::deque<Job> waiting;
     std::map<std::string, int> runs;
--- a/Tests/Virtual/VirtualCaller.h
+++ b/Tests/Virtual/VirtualCaller.h
@@ -25,6 +25,7 @@
     std::size_t instance = 0;
     bool runOnce = false;
     std::string kind; // of the caller's own choice
+    bool crashesServers = false;
     Milliseconds sentAt;
     Milliseconds deadline;
     CallerOutcome outcome = CallerOutcome::Waiting;
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -19,6 +19,13 @@
 /** The link of a strong instance against that of any other. */
 constexpr double StrongLink = 20;
 
+/** The same number for no two attempts of the fleet. */
+AttemptNumber attemptAt(std::size_t instance, AttemptNumber attempt)
+{
+    constexpr AttemptNumber mostInstances = 1000;
+    return attempt * mostInstances + instance;
+}
+
 template <typename Kind>
 constexpr std::string_view StepName = "";
 template <>
@@ -263,27 +270,40 @@
 
 std::uint64_t VirtualFleet::send(std::size_t instance, const std::string& host, const std::string& method,
     const std::string& path, Milliseconds timeLeft, const std::string& kind)
+{
+    return this->send(
+        instance, VirtualRequest{ .host = host, .method = method, .path = path, .timeLeft = timeLeft, .kind = kind });
+}
+
+std::uint64_t VirtualFleet::send(std::size_t instance, const VirtualRequest& request)
 {
     const std::uint64_t number = ++this->lastCaller;
     VirtualCaller& caller = this->callerList[number];
     caller.number = number;
     caller.requestId = "r-" + std::to_string(number);
     caller.instance = instance;
-    caller.runOnce = method != "GET";
-    caller.kind = kind;
+    caller.runOnce = request.method != "GET";
+    caller.kind = request.kind;
+    caller.crashesServers = request.crashesServers;
     caller.sentAt = this->time.now();
-    caller.deadline = this->time.now() + timeLeft;
+    caller.deadline = this->time.now() + request.timeLeft;
     if (!this->isAlive(instance)) {
         this->endCaller(number, CallerOutcome::Cut);
         return number;
     }
     RequestArrived event;
     event.request = number;
-    event.host = host;
-    event.method = method;
-    event.path = path;
+    event.host = request.host;
+    event.method = request.method;
+    event.path = request.path;
     event.requestId = caller.requestId;
-    event.timeLeft = timeLeft;
+    event.timeLeft = request.timeLeft;
+    event.caller = request.caller;
+    event.digest = digestOf({ .host = request.host,
+        .method = request.method,
+        .path = request.path,
+        .caller = request.caller,
+        .body = request.body });
     this->deliver(instance, this->nodes[instance].life, event);
     return number;
 }
@@ -311,12 +331,16 @@
 void VirtualFleet::execute(std::size_t instance, const SendAttempt& action)
 {
     const std::uint64_t life = this->nodes[instance].life;
-    const std::string requestId = this->callerList.at(action.request).requestId;
+    const VirtualCaller& caller = this->callerList.at(action.request);
+    const std::string requestId = caller.requestId;
+    VirtualBackendServer* server = this->serverAt(action.address);
+    const bool isListening = server && server->fault() != ServerFault::Dead && server->fault() != ServerFault::Dark;
     this->sent.push_back({ .instance = instance,
         .requestId = requestId,
         .backendServer = action.backendServer,
-        .at = this->time.now() });
-    VirtualBackendServer* server = this->serverAt(action.address);
+        .at = this->time.now(),
+        .isListening = isListening,
+        .crashesServers = caller.crashesServers });
     const auto notSent = [this, instance, life, action] {
         this->attemptEnded(instance, life, action, { .end = { .result = AttemptResult::NotSent }, .requestId = {} });
     };
@@ -327,12 +351,15 @@
     // Ids of servers carry service and address; the fakes know the short one.
     const bool isMeant = action.backendServer.find("/" + server->id() + "@") != std::string::npos;
     const std::string expected = isMeant ? server->id() : action.backendServer;
-    this->time.after(this->options.toServer, [this, server, requestId, expected, instance, life, action] {
-        server->receive(requestId, expected, action.attempt * 100 + instance,
-            [this, instance, life, action](const ServerWord& word) {
-                this->time.after(this->options.toServer,
-                    [this, instance, life, action, word] { this->attemptEnded(instance, life, action, word); });
-            });
+    const VirtualBackendServer::Arrival arrival{ .requestId = requestId,
+        .expectedServer = expected,
+        .attempt = attemptAt(instance, action.attempt),
+        .crashesServers = caller.crashesServers };
+    this->time.after(this->options.toServer, [this, server, arrival, instance, life, action] {
+        server->receive(arrival, [this, instance, life, action](const ServerWord& word) {
+            this->time.after(this->options.toServer,
+                [this, instance, life, action, word] { this->attemptEnded(instance, life, action, word); });
+        });
     });
 }
 
@@ -340,7 +367,7 @@
     std::size_t instance, std::uint64_t life, const SendAttempt& action, const ServerWord& word)
 {
     this->answers[{ instance, action.attempt }] = word.requestId;
-    this->answerResults[action.attempt * 100 + instance] = word.end.result;
+    this->answerResults[attemptAt(instance, action.attempt)] = word.end.result;
     this->deliver(instance, life,
         AttemptEnded{ .request = action.request,
             .attempt = action.attempt,
@@ -352,7 +379,7 @@
 {
     for (const auto& [id, server] : this->servers) {
         this->time.after(this->options.toServer,
-            [&each = *server, number = action.attempt * 100 + instance] { each.cancel(number); });
+            [&each = *server, number = attemptAt(instance, action.attempt)] { each.cancel(number); });
     }
 }
 
@@ -360,7 +387,7 @@
 {
     VirtualCaller& caller = this->callerList.at(action.request);
     caller.answerOf = this->answers[{ instance, action.attempt }];
-    const bool isGood = this->answerResults[action.attempt * 100 + instance] == AttemptResult::Answered;
+    const bool isGood = this->answerResults[attemptAt(instance, action.attempt)] == AttemptResult::Answered;
     this->endCaller(action.request, isGood ? CallerOutcome::Answered : CallerOutcome::Failed);
 }
 
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -17,12 +17,26 @@
 
 namespace burlreach {
 
-/** A request was sent to a backend server by an instance that acts on some revision. */
+/** A request was sent to a backend server. */
 struct SentAttempt {
     std::size_t instance = 0;
     std::string requestId;
     std::string backendServer;
     Milliseconds at;
+    bool isListening = false; // a process was there to take it
+    bool crashesServers = false;
+};
+
+/** What a caller sends. */
+struct VirtualRequest {
+    std::string host = "bookings.example";
+    std::string method = "GET";
+    std::string path = "/a";
+    std::string caller = "10.0.2.1";
+    std::string body;
+    Milliseconds timeLeft{ 2000 };
+    std::string kind; // of the test's own choice
+    bool crashesServers = false;
 };
 
 /**
@@ -76,6 +90,7 @@
     /** Sends a request; gives the caller's number. */
     std::uint64_t send(std::size_t instance, const std::string& host, const std::string& method,
         const std::string& path, Milliseconds timeLeft, const std::string& kind = {});
+    std::uint64_t send(std::size_t instance, const VirtualRequest& request);
     void leave(std::uint64_t caller);
 
     void run(Milliseconds span) { this->time.runUntil(this->time.now() + span); }
