Count suspensions in every timer, and send nothing whose time is over

Cause: our clock counts the time of a suspension, asio's timers do not. A time-out of two seconds came up to two seconds late after one, and since the next wake-up is only planned when it lies before the one that is planned, nothing came before it. Test Timer: with asio's own waits it fails. All timers now count by our clock and wait 250 ms at a time; so does the wait for the answer to an operator's call.

Found by the test of a suspension: a request that waited for figures or for a server when the machine was suspended was sent afterwards, 4 s after its deadline. The queue now refuses it.

Ruled out: a timer of the system on that clock for each time-out (a descriptor and two calls each). Ages, windows, budgets and deadlines of the decisions are differences of our clock already; there are no leases of ours in the store. The time-outs within httplib, which serves operators' calls only, stand still.

--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -4,10 +4,10 @@
 #include "Base/NetworkAddress.h"
 #include "Http/HttpConnection.h"
 #include "Http/HttpMessage.h"
+#include "Timers/Timer.h"
 
 #include <array>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
@@ -81,7 +81,7 @@
     Options options;
     Completion completion;
     asio::io_context* context;
-    asio::steady_timer timer;
+    Timer timer;
     unsigned limitNumber = 0; // the limit in force; earlier ones say nothing
     std::shared_ptr<HttpConnection> connection;
     std::optional<Parser> parser;
--- a/Source/Http/OpenConnection.cpp
+++ b/Source/Http/OpenConnection.cpp
@@ -1,8 +1,8 @@
 #include "Http/OpenConnection.h"
 
 #include "Base/ChronoDuration.h"
+#include "Timers/Timer.h"
 
-#include <asio/steady_timer.hpp>
 #include <utility>
 
 namespace burlreach {
@@ -13,7 +13,7 @@
     asio::error_code error;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
     const auto connection = std::make_shared<HttpConnection>(asio::ip::tcp::socket(context));
-    const auto timer = std::make_shared<asio::steady_timer>(context);
+    const auto timer = std::make_shared<Timer>(context);
     timer->expires_after(toDuration(timeout));
     timer->async_wait([connection](const asio::error_code& cancelled) {
         asio::error_code ignored;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -184,6 +184,11 @@
         if (found == this->requests.end())
             continue;
         RequestState& request = found->second;
+        // After a suspension its time may be long over: a server would work for nobody.
+        if (now >= request.deadline) {
+            this->refuse(request, RefusalReason::DeadlinePassedWaiting, now, actions);
+            continue;
+        }
         // It may have become known while the request waited.
         if (this->parts.crashes->isRefused(request, now)) {
             this->refuse(request, RefusalReason::CrashesBackendServers, now, actions);
--- a/Source/Operators/PendingCalls.h
+++ b/Source/Operators/PendingCalls.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "Base/Milliseconds.h"
+#include "Base/ChronoDuration.h"
+#include "Base/SteadyClock.h"
 #include "Configuration/ChangeListener.h"
 
-#include <chrono>
+#include <algorithm>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -37,14 +38,19 @@
     {
         std::unique_lock lock(this->mutex);
         const auto found = this->answers.find(call);
-        this->changed.wait_for(
-            lock, std::chrono::duration<double, std::milli>(longest.count), [&] { return found->second.has_value(); });
+        const Milliseconds end = this->clock.now() + longest;
+        // In short waits: the one of the library stands still while the machine is suspended.
+        while (!found->second && this->clock.now() < end)
+            this->changed.wait_for(lock, toDuration(std::min(LongestWait, end - this->clock.now())));
         std::optional<Answer> answer = std::move(found->second);
         this->answers.erase(found);
         return answer;
     }
 
 private:
+    static constexpr Milliseconds LongestWait{ 250 };
+
+    SteadyClock clock;
     std::mutex mutex;
     std::condition_variable changed;
     std::map<OperatorCallNumber, std::optional<Answer>> answers;
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -4,10 +4,10 @@
 #include "Base/NetworkAddress.h"
 #include "Metrics/TrafficMetrics.h"
 #include "Peers/PeerClientSession.h"
+#include "Timers/Timer.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
 #include <string>
@@ -58,7 +58,7 @@
     TrafficMetrics* metrics;
     std::shared_ptr<PeerClientSession> session;
     std::deque<Waiting> waiting;
-    asio::steady_timer connectTimer;
+    Timer connectTimer;
     bool isConnecting = false;
     Milliseconds nextConnect = LongAgo;
     Milliseconds lastSend;
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -17,10 +17,10 @@
 #include "Program/TrafficThread.h"
 #include "Settings/Settings.h"
 #include "StoreClient/HttpStoreClient.h"
+#include "Timers/Timer.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
 #include <atomic>
 #include <cstdint>
 #include <mutex>
@@ -88,8 +88,8 @@
     Node node;
     asio::io_context context;
     asio::signal_set signals;
-    asio::steady_timer controlTimer;
-    asio::steady_timer tendingTimer;
+    Timer controlTimer;
+    Timer tendingTimer;
     Milliseconds controlWakesAt = Never;
     PeerClient peerClient;
     PeerServer peerServer;
--- a/Source/Program/TrafficThread.h
+++ b/Source/Program/TrafficThread.h
@@ -4,11 +4,11 @@
 #include "Operators/InstanceReader.h"
 #include "Program/ReadinessPages.h"
 #include "Settings/Settings.h"
+#include "Timers/Timer.h"
 #include "Traffic/RequestDesk.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <system_error>
 #include <thread>
@@ -49,8 +49,8 @@
     Parts parts;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
-    asio::steady_timer timer;
-    asio::steady_timer tending;
+    Timer timer;
+    Timer tending;
     RequestDesk desk;
     ReadinessPages readiness;
     Milliseconds wakesAt = Never;
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -9,10 +9,10 @@
 #include "Node/Actions.h"
 #include "Node/EventSink.h"
 #include "Node/RepeatLookup.h"
+#include "Timers/Timer.h"
 #include "Traffic/TrafficDialect.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -111,7 +111,7 @@
     Options options;
     Parts parts;
     HttpListener listener;
-    asio::steady_timer acceptTimer;
+    Timer acceptTimer;
     HttpConnectionPool connections;
     std::unordered_map<RequestNumber, Request> requests;
     std::unordered_multimap<std::uint64_t, RequestNumber> bySession;
--- /dev/null
+++ b/Tests/Timers/TimerTest.cpp
@@ -0,0 +1,88 @@
+// A machine that is suspended goes on with its timers where they stood, while
+// the clock by which deadlines, ages and leases are counted has gone on.
+
+#include "Timers/Timer.h"
+#include "Base/SteadyClock.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <thread>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+using RealTime = std::chrono::steady_clock;
+
+/** A clock that can be put forward, as a suspension does. */
+class SuspendedClock {
+public:
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<SuspendedClock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now()
+    {
+        const auto real = std::chrono::duration_cast<duration>(RealTime::now().time_since_epoch());
+        return time_point(real + std::chrono::milliseconds(suspended));
+    }
+
+    static inline std::atomic<int> suspended{ 0 }; // milliseconds
+};
+
+using SuspendedTimer = asio::basic_waitable_timer<SuspendedClock, ShortWaits<SuspendedClock>>;
+
+constexpr std::chrono::milliseconds Due{ 2000 };
+constexpr std::chrono::milliseconds Before{ 50 };
+constexpr int SuspendedMilliseconds = 5000;
+/** Late by one wait at most, and by what a busy machine takes. */
+constexpr std::chrono::milliseconds LatestAfter{ 1000 };
+
+}
+
+TEST_GROUP(Timer){};
+
+TEST(Timer, IsDueSoonAfterASuspension)
+{
+    SuspendedClock::suspended = 0;
+    asio::io_context context;
+    SuspendedTimer timer(context);
+    const auto begun = RealTime::now();
+    bool hasEnded = false;
+    timer.expires_after(Due);
+    timer.async_wait([&](const asio::error_code& error) { hasEnded = !error; });
+    context.run_for(Before);
+    CHECK(!hasEnded);
+    SuspendedClock::suspended = SuspendedMilliseconds;
+    context.run();
+    CHECK(hasEnded);
+    CHECK(RealTime::now() - begun < Before + LatestAfter);
+}
+
+TEST(Timer, IsNotDueEarly)
+{
+    SuspendedClock::suspended = 0;
+    asio::io_context context;
+    SuspendedTimer timer(context);
+    constexpr std::chrono::milliseconds span{ 600 };
+    const auto begun = RealTime::now();
+    timer.expires_after(span);
+    timer.async_wait([](const asio::error_code&) {});
+    context.run();
+    CHECK(RealTime::now() - begun >= span);
+}
+
+TEST(Timer, CountsAsTheClockOfDecisions)
+{
+    const double before = SteadyClock().now().count;
+    const double now = static_cast<double>(TimerClock::now().time_since_epoch().count()) / 1000;
+    CHECK(std::abs(now - before) < 1000);
+}
