Fault matrix: suspensions and a request that crashes servers; count only ends that come at once

The two join every step, each other and every other fault; the cells of before keep their seeds. Found by a cell (all servers lose answers, beside a request that ends them): attempts that broke up to 3 s before a server ended counted as ends, so seven others were refused.

With it goes the knowledge of processes that were replaced at once and heard of seconds later: it could not tell that from a later end.

--- a/Source/Crashes/BrokenAttempts.cpp
+++ b/Source/Crashes/BrokenAttempts.cpp
@@ -43,10 +43,8 @@
     const auto look = this->lookAt(backendServer);
     if (look == this->looks.end())
         return;
-    if (look->step == Step::Second) {
-        this->looks.erase(look);
-        return;
-    }
+    if (look->step == Step::Second)
+        return this->forget(backendServer);
     look->step = Step::Between;
     look->secondAt = now + this->options.secondLook;
 }
--- a/Source/Crashes/BrokenAttempts.h
+++ b/Source/Crashes/BrokenAttempts.h
@@ -38,15 +38,14 @@
  * and on the way; only the end of the process says something of a request. So
  * the server is looked at, by new connections that are used afterwards: where
  * nobody listens any more the process has ended. Where one comes up the process
- * may still be ending, so there is a second look; or it was replaced at once,
- * which is known when another life of the server is heard of soon.
+ * may still be ending, so there is a second look. An end that comes later has
+ * another cause.
  */
 class BrokenAttempts {
 public:
     struct Options {
-        /** A replaced process is heard of by then, from the store or in its own answers. */
-        Milliseconds kept{ 3000 };
-        Milliseconds secondLook{ 150 }; // after the first one
+        Milliseconds kept{ 1000 }; // by then both looks have ended
+        Milliseconds secondLook{ 30 }; // after the first one; meanwhile the server may end from another cause
         /** The loss of a data centre breaks a few hundred at one instance; the rest of them says no more. */
         std::size_t most = 256;
     };
@@ -57,7 +56,7 @@
     bool add(const BrokenAttempt& attempt, Milliseconds now);
     /** The server's process has ended: gives its attempts, which are no longer kept. */
     std::vector<BrokenAttempt> ended(std::string_view backendServer);
-    /** A connection came up: there may be another look, and more may be heard while the attempts are kept. */
+    /** A connection came up: there will be another look, or that was it and the server lives. */
     void cameUp(std::string_view backendServer, Milliseconds now);
     /** Servers whose second look begins now. */
     std::vector<ServerToCheck> takeDue(Milliseconds now);
--- a/Tests/Crashes/BrokenAttemptsTest.cpp
+++ b/Tests/Crashes/BrokenAttemptsTest.cpp
@@ -39,16 +39,18 @@
     attempts.add(at("s1", OneRequest, { 0 }), { 0 });
     CHECK(attempts.nextLook() == Never);
     attempts.cameUp("s1", { 2 });
-    DOUBLES_EQUAL(152, attempts.nextLook().count, 0.1);
-    LONGS_EQUAL(0, attempts.takeDue({ 151 }).size());
-    LONGS_EQUAL(1, attempts.takeDue({ 152 }).size());
-    LONGS_EQUAL(0, attempts.takeDue({ 153 }).size());
-    attempts.cameUp("s1", { 154 });
-    CHECK(attempts.nextLook() == Never);
+    DOUBLES_EQUAL(32, attempts.nextLook().count, 0.1);
+    LONGS_EQUAL(0, attempts.takeDue({ 31 }).size());
+    LONGS_EQUAL(1, attempts.takeDue({ 32 }).size());
+    LONGS_EQUAL(0, attempts.takeDue({ 33 }).size());
     LONGS_EQUAL(1, attempts.of(OneRequest));
+    // It lives: an end that comes later says nothing of this request.
+    attempts.cameUp("s1", { 34 });
+    CHECK(attempts.nextLook() == Never);
+    LONGS_EQUAL(0, attempts.ended("s1").size());
 }
 
-TEST(BrokenAttempts, AProcessThatWasReplacedAtOnceIsStillKnownToHaveEnded)
+TEST(BrokenAttempts, AnotherLifeThatIsHeardOfBetweenTheLooksShowsTheEnd)
 {
     BrokenAttempts attempts({});
     attempts.add(at("s1", OneRequest, { 0 }), { 0 });
@@ -64,7 +66,7 @@
     LONGS_EQUAL(0, attempts.ended("s1").size());
     attempts.add(at("s2", OneRequest, { 0 }), { 0 });
     attempts.cameUp("s2", { 1 });
-    attempts.add(at("s3", OneRequest, { 3100 }), { 3100 });
+    attempts.add(at("s3", OneRequest, { 1100 }), { 1100 });
     LONGS_EQUAL(0, attempts.ended("s2").size());
 }
 
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -2,6 +2,7 @@
 
 #include "Tests/FaultMatrix/Promises.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -101,8 +102,10 @@
 {
     if (std::exchange(this->injected, true))
         return;
-    for (const Fault* fault : this->faults)
+    for (const Fault* fault : this->faults) {
         fault->inject(this->fleet);
+        this->lastsUntil = std::max(this->lastsUntil, this->fleet.now() + fault->lasts);
+    }
 }
 
 void Cell::sendOne()
@@ -141,7 +144,7 @@
     std::size_t asked = 0;
     std::size_t answered = 0;
     for (const auto& [number, caller] : this->fleet.callers()) {
-        if (caller.instance == StruckInstance)
+        if (caller.instance == StruckInstance || caller.crashesServers)
             continue;
         ++asked;
         const bool isServed = caller.outcome == CallerOutcome::Answered || caller.outcome == CallerOutcome::Left;
@@ -198,7 +201,7 @@
     this->load(UnderFault);
     for (const Fault* fault : this->faults)
         fault->heal(this->fleet);
-    const Milliseconds healedAt = this->fleet.now();
+    const Milliseconds healedAt = std::max(this->fleet.now(), this->lastsUntil);
     this->load(AfterHealing);
     for (std::size_t instance = 0; instance < Instances; ++instance) {
         if (this->fleet.isAlive(instance))
@@ -210,6 +213,7 @@
     Promises promises(this->fleet);
     promises.checkRequests();
     promises.checkDrain(DrainedServer, this->drainedAt, DrainBound);
+    promises.checkCrashes(this->faults.size() > 1 ? healedAt : LongAgo, StruckInstance);
     for (const char* server : ServersThere)
         promises.checkUnused(server, healedAt + EmptiedBound, this->drainedAt);
     // Faults that strike many servers may keep this one out of use for longer.
--- a/Tests/FaultMatrix/Cell.h
+++ b/Tests/FaultMatrix/Cell.h
@@ -46,6 +46,7 @@
     VirtualFleet fleet;
     std::size_t seen = 0;
     bool injected = false;
+    Milliseconds lastsUntil = LongAgo; // a fault that ends by itself
     std::size_t turn = 0;
     StoreRevision drainRevision = 0;
     Milliseconds drainedAt = Never;
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -147,6 +147,39 @@
     return faults;
 }
 
+/** Like the other requests but for its body. */
+VirtualRequest harmfulFor(std::size_t instance)
+{
+    // What an instance does not answer while it stands still is not its fault.
+    return { .path = "/bookings",
+        .body = "x",
+        .timeLeft = { 700 },
+        .kind = instance == StruckInstance ? "frozen" : "",
+        .crashesServers = true };
+}
+
+std::vector<Fault> makeLaterFaults()
+{
+    constexpr Milliseconds suspension{ 5000 };
+    constexpr Milliseconds comesEvery{ 110 };
+    const auto suspend = [](VirtualFleet& fleet) {
+        fleet.freeze(StruckInstance);
+        fleet.clock().after(suspension, [&fleet] { fleet.wake(StruckInstance); });
+    };
+    const auto sendHarmful = [](VirtualFleet& fleet) { fleet.repeat(harmfulFor, comesEvery); };
+    const auto nothing = [](VirtualFleet&) {};
+    return {
+        { .name = "suspended", .inject = suspend, .heal = nothing, .lasts = suspension },
+        { .name = "crashing-request", .inject = sendHarmful, .heal = nothing, .isConfined = false },
+    };
+}
+
+}
+
+std::span<const Fault> laterFaults()
+{
+    static const std::vector<Fault> faults = makeLaterFaults();
+    return faults;
 }
 
 std::span<const Fault> allFaults()
--- a/Tests/FaultMatrix/Fault.h
+++ b/Tests/FaultMatrix/Fault.h
@@ -14,6 +14,7 @@
     std::function<void(VirtualFleet&)> inject;
     std::function<void(VirtualFleet&)> heal;
     bool hitsStore = false; // the store as a whole: bounds counted from its word do not hold meanwhile
+    Milliseconds lasts; // from the injection, when it ends by itself
     bool isConfined = true; // the other instances and servers must go on serving meanwhile
 };
 
@@ -21,5 +22,7 @@
 inline constexpr std::size_t StruckInstance = 0;
 
 std::span<const Fault> allFaults();
+/** Apart from them, so that the cells of those above keep their seeds. */
+std::span<const Fault> laterFaults();
 
 }
--- a/Tests/FaultMatrix/FaultMatrix.cc
+++ b/Tests/FaultMatrix/FaultMatrix.cc
@@ -55,6 +55,34 @@
     return jobs;
 }
 
+/** The later faults at every step, and each with every other fault. */
+std::vector<Job> laterJobs()
+{
+    constexpr std::uint64_t firstSeed = 20000;
+    std::vector<Job> jobs;
+    const auto add = [&](const Step& step, std::vector<const Fault*> faults) {
+        std::string name = step.text();
+        for (std::size_t index = 0; index < faults.size(); ++index)
+            name.append(index ? "+" : "/").append(faults[index]->name);
+        jobs.push_back({ .name = std::move(name),
+            .step = step,
+            .faults = std::move(faults),
+            .seed = firstSeed + jobs.size(),
+            .broken = {} });
+    };
+    const auto later = laterFaults();
+    for (const Step& step : allSteps()) {
+        for (const Fault& fault : later)
+            add(step, { &fault });
+        add(step, { &later.front(), &later.back() });
+    }
+    for (const Fault& fault : later) {
+        for (const Fault& other : allFaults().subspan(1))
+            add(allSteps()[jobs.size() % allSteps().size()], { &other, &fault });
+    }
+    return jobs;
+}
+
 }
 
 int main(int argc, char** argv)
@@ -67,6 +95,8 @@
     std::vector<Job> jobs = singleJobs();
     for (Job& job : pairJobs())
         jobs.push_back(std::move(job));
+    for (Job& job : laterJobs())
+        jobs.push_back(std::move(job));
     std::erase_if(jobs, [&](const Job& job) { return job.name.find(only) == std::string::npos; });
     runInParallel(jobs.size(), [&](std::size_t index) {
         Job& job = jobs[index];
--- a/Tests/FaultMatrix/Promises.cpp
+++ b/Tests/FaultMatrix/Promises.cpp
@@ -53,6 +53,35 @@
         this->checkCaller(caller);
 }
 
+void Promises::checkCrashes(Milliseconds notBefore, std::size_t struckInstance)
+{
+    constexpr std::size_t proof = 3;
+    constexpr std::size_t mostLater = 3;
+    constexpr Milliseconds contact{ 3000 };
+    std::vector<Milliseconds> ends;
+    for (const std::string& id : this->fleet->serverIds()) {
+        const auto& some = this->fleet->server(id).crashes();
+        ends.insert(ends.end(), some.begin(), some.end());
+    }
+    std::sort(ends.begin(), ends.end());
+    for (const auto& [number, caller] : this->fleet->callers()) {
+        const bool isRefused = caller.outcome == CallerOutcome::NotRun || caller.outcome == CallerOutcome::Unknown;
+        if (isRefused && !caller.crashesServers && caller.reason == RefusalReason::CrashesBackendServers)
+            this->sentences.push_back(caller.requestId + " was refused as one that crashes servers");
+    }
+    if (ends.size() < proof)
+        return;
+    const Milliseconds known = std::max(ends[proof - 1], notBefore) + contact;
+    const auto& all = this->fleet->sentAttempts();
+    const auto later = static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const SentAttempt& attempt) {
+        return attempt.crashesServers && attempt.isListening && attempt.instance != struckInstance
+            && attempt.at > known;
+    }));
+    if (later > mostLater)
+        this->sentences.push_back("a request that crashes servers was sent " + std::to_string(later)
+            + " times after all should have known; " + std::to_string(ends.size()) + " servers ended");
+}
+
 void Promises::checkUnused(const std::string& serverId, Milliseconds from, Milliseconds until)
 {
     for (const SentAttempt& attempt : this->fleet->sentAttempts()) {
--- a/Tests/FaultMatrix/Promises.h
+++ b/Tests/FaultMatrix/Promises.h
@@ -17,6 +17,11 @@
     /** Nobody who knew of the drain sent anything there after the bound. */
     void checkDrain(const std::string& serverId, Milliseconds acknowledged, Milliseconds bound);
 
+    /**
+     * A request that ends servers was sent to few of them by instances that were spared, later than all should know of
+     * it; the bound counts from the third end or from this time. No other request was taken for it.
+     */
+    void checkCrashes(Milliseconds notBefore, std::size_t struckInstance);
     /** Nothing was sent to this server between these times. */
     void checkUnused(const std::string& serverId, Milliseconds from, Milliseconds until);
     /** Something was sent there after this time. */
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -305,6 +305,13 @@
     return number;
 }
 
+void VirtualFleet::repeat(const RequestFor& requestFor, Milliseconds every)
+{
+    const std::size_t instance = this->repeats++ % this->nodes.size();
+    this->send(instance, requestFor(instance));
+    this->time.after(every, [this, requestFor, every] { this->repeat(requestFor, every); });
+}
+
 void VirtualFleet::leave(std::uint64_t number)
 {
     VirtualCaller& caller = this->callerList.at(number);
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -91,6 +91,10 @@
     std::uint64_t send(std::size_t instance, const std::string& host, const std::string& method,
         const std::string& path, Milliseconds timeLeft, const std::string& kind = {});
     std::uint64_t send(std::size_t instance, const VirtualRequest& request);
+    using RequestFor = std::function<VirtualRequest(std::size_t instance)>;
+
+    /** Sends what the function gives again and again, to each instance by turns. */
+    void repeat(const RequestFor& requestFor, Milliseconds every);
     void leave(std::uint64_t caller);
 
     void run(Milliseconds span) { this->time.runUntil(this->time.now() + span); }
@@ -167,6 +171,7 @@
     std::map<AttemptNumber, AttemptResult> answerResults;
     std::vector<SentAttempt> sent;
     std::uint64_t lastCaller = 0;
+    std::size_t repeats = 0;
     std::size_t peerMessageCount = 0;
     std::size_t peerByteCount = 0;
     std::size_t probeCount = 0;
