Keep what is known of crashing requests as text; soak with suspensions and such a request

Found by the first six seeds of the new soak: all three instances ended by an exception, since the record was bytes and the store's own form is JSON (test CrashRecorder, which ends the runner on the code before).

Seeds from 1000 on: a service whose servers listen without a proxy, a request that ends them, which comes every 120 ms to each instance by turns, ordinary callers of the same service, and instances that are suspended: paused, with the clock that counts suspensions put 5 s forward by a small library that only the soak loads. Plans of earlier seeds are unchanged.

--- a/Source/Node/CrashRecorder.cpp
+++ b/Source/Node/CrashRecorder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <google/protobuf/util/json_util.h>
 #include <set>
 #include <tuple>
 
@@ -25,7 +26,18 @@
 std::optional<peers::CrashNews> readKeptCrashes(const std::string& value)
 {
     peers::CrashNews crashes;
-    return crashes.ParseFromString(value) ? std::optional(std::move(crashes)) : std::nullopt;
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    const auto status = google::protobuf::util::JsonStringToMessage(value, &crashes, options);
+    return status.ok() ? std::optional(std::move(crashes)) : std::nullopt;
+}
+
+std::string writeKeptCrashes(const peers::CrashNews& crashes)
+{
+    std::string text;
+    // A message of plain fields always has a text.
+    static_cast<void>(google::protobuf::util::MessageToJsonString(crashes, &text));
+    return text;
 }
 
 CrashRecorder::CrashRecorder(Options givenOptions, StoreCallNumbers& givenNumbers, Random& givenRandom)
@@ -56,7 +68,7 @@
     request.number = this->numbers->next();
     request.operation = StoreOperation::Write;
     request.key = CrashesKey;
-    request.value = kept.SerializeAsString();
+    request.value = writeKeptCrashes(kept);
     request.expected = stored ? stored->revision : 0;
     request.timeout = this->options.answerTimeout;
     this->value = request.value;
--- a/Source/Node/CrashRecorder.h
+++ b/Source/Node/CrashRecorder.h
@@ -17,6 +17,8 @@
 /** The key under which requests that crash servers are kept, in every form of the store. */
 inline constexpr const char* CrashesKey = "burlreach/crashing-requests";
 
+/** As text, in the JSON mapping: the store's own form holds no other bytes. */
+std::string writeKeptCrashes(const peers::CrashNews& crashes);
 /** Nothing when the value was not written by an instance. */
 std::optional<peers::CrashNews> readKeptCrashes(const std::string& value);
 
--- /dev/null
+++ b/Tests/Node/CrashRecorderTest.cpp
@@ -0,0 +1,89 @@
+// Seen: all instances ended one after the other, at the moment at which one of
+// them was to write to the store under which requests servers had ended.
+// How it came about: the record was written as bytes, and the store's own form,
+// which is JSON, cannot hold them; the library that writes it threw.
+// Proof: the last line of each instance named an invalid byte of the value.
+
+#include "Node/CrashRecorder.h"
+#include "Node/CrashMessages.h"
+#include "StoreClient/OwnStoreWire.h"
+
+#include <string>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr Milliseconds Settled{ 300 };
+
+peers::CrashNews someCrashes(std::uint64_t server)
+{
+    peers::CrashNews crashes;
+    const ToldEnd told{ .digest = { .high = ~0ULL, .low = 0xbcULL },
+        .end
+        = { .server = server, .address = { .host = "10.0.0.1", .port = 0xfcbc }, .caller = 0xfeffULL, .at = { 0 } } };
+    write(told, { 10 }, *crashes.add_ends());
+    return crashes;
+}
+
+}
+
+TEST_GROUP(CrashRecorder)
+{
+    StoreCallNumbers numbers;
+    Random random{ 1 };
+    CrashRecorder recorder{ {}, this->numbers, this->random };
+};
+
+TEST(CrashRecorder, WritesWhatEveryFormOfTheStoreCanHold)
+{
+    this->recorder.changed({ 0 });
+    CHECK(!this->recorder.isDue({ 100 }));
+    CHECK(this->recorder.isDue(Settled));
+    const auto request = this->recorder.next(someCrashes(~0ULL), nullptr, true, Settled);
+    CHECK(request.has_value());
+    // Throws on bytes that are no text.
+    const HttpRequest message = OwnStoreWire().encode(*request);
+    CHECK(!message.body().empty());
+    const auto kept = readKeptCrashes(request->value);
+    CHECK(kept.has_value());
+    const auto end = read(kept->ends(0), { 1000 });
+    CHECK(end.has_value());
+    CHECK(end->digest == RequestDigest({ .high = ~0ULL, .low = 0xbcULL }));
+    CHECK(end->end.server == ~0ULL);
+    CHECK(end->end.caller == 0xfeffULL);
+    DOUBLES_EQUAL(990, end->end.at.count, 0.1);
+}
+
+TEST(CrashRecorder, OnlyTheLeadingWatcherWritesAndOnlyWhatDiffers)
+{
+    this->recorder.changed({ 0 });
+    CHECK(!this->recorder.next(someCrashes(1), nullptr, false, Settled).has_value());
+    CHECK(this->recorder.nextDue() > Settled);
+    const StoreItem stored{ .key = CrashesKey, .value = writeKeptCrashes(someCrashes(1)), .revision = 7 };
+    CHECK(!this->recorder.next(someCrashes(1), &stored, true, Settled).has_value());
+    CHECK(this->recorder.nextDue() == Never);
+    const auto request = this->recorder.next(someCrashes(2), &stored, true, Settled);
+    CHECK(request.has_value());
+    LONGS_EQUAL(7, request->expected);
+}
+
+TEST(CrashRecorder, TriesAgainAfterAnAnswerThatIsLost)
+{
+    this->recorder.changed({ 0 });
+    const auto request = this->recorder.next(someCrashes(1), nullptr, true, Settled);
+    CHECK(!this->recorder.isDue({ 10000 }));
+    CHECK(this->recorder.answered({ .number = request->number, .status = StoreStatus::Unknown }, { 1000 }));
+    CHECK(this->recorder.isDue({ 4000 }));
+    CHECK(!this->recorder.takeWritten().has_value());
+    CHECK(!this->recorder.answered({ .number = request->number, .status = StoreStatus::Done }, { 4000 }));
+}
+
+TEST(CrashRecorder, ReadsNothingFromWhatAnotherWriterLeft)
+{
+    CHECK(!readKeptCrashes("no record").has_value());
+    CHECK(!readKeptCrashes(std::string("\x08\xbc\xff", 3)).has_value());
+}
--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -74,7 +74,8 @@
         .folder = folder,
         .instances = options.instances,
         .servers = options.servers,
-        .firstPort = options.firstPort });
+        .firstPort = options.firstPort,
+        .hasCrashingRequest = hasCrashingRequest(seed) });
     if (!fleet.start())
         return { "the fleet did not start" };
     const std::vector<SoakStep> steps = planOf({ .seed = seed,
@@ -82,8 +83,13 @@
         .servers = options.servers,
         .length = { options.seconds * MillisecondsPerSecond } });
     const auto callers = fleet.startCallers("run", options.seconds, seed);
+    const auto neighbours = fleet.crashes() ? fleet.startNeighbours(options.seconds) : nullptr;
+    if (fleet.crashes())
+        fleet.crashes()->startSending();
     play(fleet, steps);
     callers->wait();
+    if (fleet.crashes())
+        fleet.crashes()->stopSending();
     fleet.heal();
     const bool hasSettled = fleet.settles(SettlePatience);
     const auto calm = fleet.startCallers("calm", CalmSeconds, seed);
@@ -96,6 +102,13 @@
     checker.checkAllAnswered(afterwards);
     if (isPlannedOnly(seed))
         checker.checkNothingCut(told);
+    if (fleet.crashes()) {
+        neighbours->wait();
+        checker.checkNeighbours(SoakChecker::read(fleet.pathOf("neighbours.json")));
+        for (const std::string& sentence : fleet.crashes()->broken())
+            checker.note(sentence);
+        std::cout << "seed " << seed << ": " << fleet.crashes()->ends() << " servers ended under a request\n";
+    }
     if (!hasSettled)
         checker.note("not every instance was ready with the latest accepted change after 25 s");
     for (const std::string& name : fleet.failures())
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -30,6 +30,7 @@
     if (result.is_discarded())
         return told;
     told.outcomes = result.value("outcomes", told.outcomes);
+    told.reasons = result.value("reasons", told.reasons);
     told.answeredBookings = result.value("answered_bookings", told.answeredBookings);
     told.notRunBookings = result.value("not_run_bookings", told.notRunBookings);
     told.cuts = result.value("cuts", told.cuts);
@@ -56,6 +57,14 @@
     }
 }
 
+void SoakChecker::checkNeighbours(const CallersResult& told)
+{
+    if (!told.outcomes.contains(Answered))
+        this->note("beside a request that crashes servers nobody was answered");
+    if (told.reasons.contains("crashes_backend_servers"))
+        this->note("requests beside one that crashes servers were refused as such");
+}
+
 void SoakChecker::checkNothingCut(const CallersResult& told)
 {
     for (const std::string& cut : told.cuts)
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -12,6 +12,7 @@
 /** What callers were told, as their stand-in wrote it. */
 struct CallersResult {
     std::map<std::string, int> outcomes;
+    std::map<std::string, int> reasons; // of refusals
     std::vector<std::string> answeredBookings;
     std::vector<std::string> notRunBookings;
     std::vector<std::string> cuts; // where and when each request without an answer ended
@@ -29,6 +30,8 @@
     void checkNothingCut(const CallersResult& told);
     /** Everything was answered: no fault is left. */
     void checkAllAnswered(const CallersResult& told);
+    /** Callers of servers that another one's request crashed: they are not taken for the cause, and some are served. */
+    void checkNeighbours(const CallersResult& told);
     void note(const std::string& broken) { this->broken.push_back(broken); }
     const std::vector<std::string>& findings() const { return this->broken; }
 
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -64,11 +64,21 @@
         this->addServer(index);
     for (std::size_t index = 0; index < this->instances.size(); ++index)
         this->addInstance(index);
+    if (this->options.hasCrashingRequest) {
+        CrashingLoad::Options load{ .build = this->options.build,
+            .folder = this->options.folder,
+            .firstServerPort = this->port(Part::CrashingServer),
+            .callersPorts = {} };
+        for (std::size_t index = 0; index < this->instances.size(); ++index)
+            load.callersPorts.push_back(this->port(Part::Callers, index));
+        this->crashingLoad = std::make_unique<CrashingLoad>(std::move(load));
+    }
     this->proxies = std::thread([this] { this->context.run(); });
 }
 
 SoakFleet::~SoakFleet()
 {
+    this->crashingLoad.reset();
     this->change.reset();
     for (Instance& instance : this->instances)
         instance.process.reset();
@@ -112,8 +122,16 @@
     const std::string name = "entry-" + std::to_string(index);
     Instance& instance = this->instances[index];
     this->writeSettings(index);
-    instance.process = this->program(
-        name, { this->options.build + "/burlreach", "serve", "--settings", this->pathOf(name + ".json") });
+    std::vector<std::string> command{ this->options.build + "/burlreach", "serve", "--settings",
+        this->pathOf(name + ".json") };
+    if (this->options.hasCrashingRequest) {
+        std::ofstream(this->clockPath(index)) << "0\n";
+        const std::vector<std::string> clock{ "/usr/bin/env",
+            "LD_PRELOAD=" + this->options.build + "/StandIns/libSuspendedClock.so",
+            "SUSPENDED_CLOCK=" + this->clockPath(index) };
+        command.insert(command.begin(), clock.begin(), clock.end());
+    }
+    instance.process = this->program(name, std::move(command));
     // Connections to an instance that is away go to the next one.
     std::vector<std::uint16_t> targets;
     for (std::size_t step = 0; step < this->instances.size(); ++step)
@@ -164,19 +182,44 @@
         return this->control(0, { "create-service", "--service", "bookings", "--host", "bookings.example" }, log);
     });
     for (std::size_t server = 0; isCreated && server < this->options.servers; ++server) {
-        const bool isNamed = this->control(0,
-            { "name-backend-server", "--service", "bookings", "--name", "offers-" + std::to_string(server), "--ip",
-                "127.0.0.1", "--port", std::to_string(this->port(Part::ServerProxy, server)), "--data-centre",
-                "dc-" + std::to_string(server % DataCentres), "--slots", "3" },
-            log);
-        if (!isNamed)
+        if (!this->nameServer("bookings", "offers-" + std::to_string(server), this->port(Part::ServerProxy, server)))
             return false;
     }
-    return isCreated;
+    if (!isCreated || !this->crashingLoad)
+        return isCreated;
+    constexpr std::size_t crashingServers = 4;
+    bool areNamed
+        = this->control(0, { "create-service", "--service", CrashingLoad::Service, "--host", CrashingLoad::Host }, log);
+    for (std::size_t server = 0; areNamed && server < crashingServers; ++server)
+        areNamed = this->nameServer(
+            CrashingLoad::Service, "rosters-" + std::to_string(server), this->port(Part::CrashingServer, server));
+    return areNamed;
+}
+
+bool SoakFleet::nameServer(const std::string& service, const std::string& name, std::uint16_t serverPort) const
+{
+    const std::string dataCentre = "dc-" + std::to_string(serverPort % DataCentres);
+    return this->control(0,
+        { "name-backend-server", "--service", service, "--name", name, "--ip", "127.0.0.1", "--port",
+            std::to_string(serverPort), "--data-centre", dataCentre, "--slots", "3" },
+        "changes");
+}
+
+void SoakFleet::resumeSuspended(std::size_t index)
+{
+    constexpr int span = 5000;
+    Instance& instance = this->instances[index];
+    instance.suspendedMilliseconds += span;
+    std::ofstream(this->clockPath(index)) << instance.suspendedMilliseconds << '\n';
+    instance.process->signal(SIGCONT);
+    if (this->crashingLoad)
+        this->crashingLoad->suspensionEnded(index);
 }
 
 bool SoakFleet::start()
 {
+    if (this->crashingLoad)
+        this->crashingLoad->startServers();
     this->store->start();
     for (Server& server : this->backendServers)
         server.process->start();
@@ -218,6 +261,8 @@
 
 void SoakFleet::tend()
 {
+    if (this->crashingLoad)
+        this->crashingLoad->tend();
     for (Instance& instance : this->instances) {
         if (!instance.isStopping || instance.process->isRunning())
             continue;
@@ -275,6 +320,7 @@
     case SoakFault::StopInstance:
         return this->stopInstance(index);
     case SoakFault::PauseInstance:
+    case SoakFault::SuspendInstance:
         return instance.process->signal(SIGSTOP);
     case SoakFault::ReloadInstance:
         return instance.process->signal(SIGHUP);
@@ -331,6 +377,8 @@
         return;
     case SoakFault::PauseInstance:
         return instance.process->signal(SIGCONT);
+    case SoakFault::SuspendInstance:
+        return this->resumeSuspended(step.target % this->instances.size());
     case SoakFault::CutStore:
     case SoakFault::CutStoreOneWay:
     case SoakFault::RefuseStore:
@@ -399,6 +447,21 @@
     return callers;
 }
 
+std::unique_ptr<ChildProcess> SoakFleet::startNeighbours(int seconds) const
+{
+    std::vector<std::string> command{ this->options.build + "/StandIns/CallerStandIn", "--prefix", "neighbour",
+        "--host", CrashingLoad::Host, "--sessions", "3", "--seconds", std::to_string(seconds), "--booking-percent", "0",
+        "--pause-milliseconds", "20", "--output", this->pathOf("neighbours.json") };
+    for (std::size_t index = 0; index < this->instances.size(); ++index) {
+        command.emplace_back("--port");
+        command.push_back(std::to_string(this->port(Part::CallersProxy, index)));
+    }
+    auto callers = this->program("neighbours", std::move(command));
+    callers->start();
+    callers->expectEnd();
+    return callers;
+}
+
 std::vector<std::string> SoakFleet::failures()
 {
     std::vector<std::string> found;
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Tests/Soak/ChildProcess.h"
+#include "Tests/Soak/CrashingLoad.h"
 #include "Tests/Soak/LoopbackProxy.h"
 #include "Tests/Soak/SoakPlan.h"
 
@@ -26,6 +27,7 @@
         std::size_t instances = 3;
         std::size_t servers = 4;
         std::uint16_t firstPort = 21000;
+        bool hasCrashingRequest = false; // and instances that can be suspended
     };
 
     explicit SoakFleet(const Options& options);
@@ -46,6 +48,10 @@
 
     /** Callers with the load of a run; their result goes to NAME.json. */
     std::unique_ptr<ChildProcess> startCallers(const std::string& name, int seconds, std::uint64_t seed) const;
+    /** Callers of the service whose servers crash; their result goes to neighbours.json. */
+    std::unique_ptr<ChildProcess> startNeighbours(int seconds) const;
+    /** Null without a request that crashes servers. */
+    CrashingLoad* crashes() { return this->crashingLoad.get(); }
     std::string journalPath(std::size_t server) const;
     std::string pathOf(const std::string& name) const { return this->options.folder + "/" + name; }
     std::size_t servers() const { return this->options.servers; }
@@ -58,6 +64,7 @@
         std::unique_ptr<LoopbackProxy> callers;
         std::unique_ptr<LoopbackProxy> store;
         bool isStopping = false;
+        int suspendedMilliseconds = 0; // in all
     };
 
     struct Server {
@@ -74,7 +81,8 @@
         Callers = 300,
         CallersProxy = 400,
         Operators = 500,
-        Peers = 600
+        Peers = 600,
+        CrashingServer = 700
     };
 
     std::uint16_t port(Part part, std::size_t index = 0) const;
@@ -86,6 +94,9 @@
     void writeSettings(std::size_t index) const;
     bool control(std::size_t instance, std::vector<std::string> words, const std::string& log) const;
     bool configure() const;
+    bool nameServer(const std::string& service, const std::string& name, std::uint16_t serverPort) const;
+    void resumeSuspended(std::size_t index);
+    std::string clockPath(std::size_t index) const { return this->pathOf("clock-" + std::to_string(index)); }
     void changeConfiguration(std::size_t instance);
     bool isReady(std::size_t instance) const;
     std::uint64_t latestAccepted() const;
@@ -100,6 +111,7 @@
     std::vector<Instance> instances;
     std::vector<Server> backendServers;
     std::unique_ptr<ChildProcess> change; // under way
+    std::unique_ptr<CrashingLoad> crashingLoad;
 };
 
 }
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -13,7 +13,14 @@
 constexpr std::array<std::string_view, FaultCount> Names{ "kill-instance", "stop-instance", "pause-instance",
     "reload-instance", "reset-callers", "cut-store", "cut-store-one-way", "refuse-store", "store-down", "store-slow",
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
-    "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server" };
+    "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
+    "suspend-instance" };
+/** Drawn by all seeds below the first one with crashes, whose plans stay as they are. */
+constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
+constexpr std::uint64_t FirstSeedWithCrashes = 1000;
+constexpr std::array<SoakFault, 8> BesideCrashes{ SoakFault::SuspendInstance, SoakFault::SuspendInstance,
+    SoakFault::KillServer, SoakFault::PauseServer, SoakFault::ServerSheds, SoakFault::ServerCutsAnswers,
+    SoakFault::ReloadInstance, SoakFault::ChangeConfiguration };
 constexpr std::array<SoakFault, 4> Planned{ SoakFault::StopInstance, SoakFault::ReloadInstance,
     SoakFault::ChangeConfiguration, SoakFault::LeavingServer };
 
@@ -26,9 +33,12 @@
 constexpr double SeriesShare = 0.25;
 constexpr Milliseconds SeriesGap{ 40 };
 
-SoakFault drawFault(bool isPlanned, Random& random)
+SoakFault drawFault(std::uint64_t seed, Random& random)
 {
-    return isPlanned ? Planned[random.below(Planned.size())] : static_cast<SoakFault>(random.below(FaultCount));
+    if (hasCrashingRequest(seed))
+        return BesideCrashes[random.below(BesideCrashes.size())];
+    return isPlannedOnly(seed) ? Planned[random.below(Planned.size())]
+                               : static_cast<SoakFault>(random.below(UsualCount));
 }
 
 }
@@ -40,7 +50,12 @@
 
 bool isPlannedOnly(std::uint64_t seed)
 {
-    return seed % PlannedOnlyEach == 0;
+    return !hasCrashingRequest(seed) && seed % PlannedOnlyEach == 0;
+}
+
+bool hasCrashingRequest(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithCrashes;
 }
 
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
@@ -51,7 +66,7 @@
     while (at < options.length) {
         const bool isSeries = !steps.empty() && random.unit() < SeriesShare;
         SoakStep step;
-        step.fault = isSeries ? steps.back().fault : drawFault(isPlannedOnly(options.seed), random);
+        step.fault = isSeries ? steps.back().fault : drawFault(options.seed, random);
         step.target = random.below(options.instances * options.servers);
         step.at = at;
         step.lasts = ShortestFault + (LongestFault - ShortestFault) * random.unit();
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -33,6 +33,7 @@
     ResetServer,
     ChangeConfiguration,
     LeavingServer, // it says so in its answers
+    SuspendInstance, // its clock has gone on meanwhile, its timers have not
     Count
 };
 
@@ -56,6 +57,9 @@
 /** True for a run without unplanned faults: nothing may be cut in it. */
 bool isPlannedOnly(std::uint64_t seed);
 
+/** True for a run with a request that crashes servers, and with troubles that leave the others in touch. */
+bool hasCrashingRequest(std::uint64_t seed);
+
 /** The steps of a seed in the order of their times; they overlap and come in series. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <fstream>
 #include <httplib.h>
 #include <map>
@@ -116,7 +117,14 @@
             if (this->journalFile.is_open())
                 this->journalFile << requestId << '\n' << std::flush;
         }
+        const bool crashes = request.has_header("Crash");
+        if (crashes)
+            this->note("arrived", requestId);
         this->work();
+        if (crashes) {
+            this->note("crashed", requestId);
+            std::raise(SIGKILL);
+        }
         this->leave();
         this->addLoad(response);
         if (this->isFault("fail")) {
@@ -138,6 +146,16 @@
             });
     }
 
+    /** With the time, which later lives and other servers share. */
+    void note(const char* what, const std::string& requestId)
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        const std::lock_guard lock(this->mutex);
+        this->journalFile << what << ' ' << requestId << ' '
+                          << std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() << '\n'
+                          << std::flush;
+    }
+
     void showJournal(httplib::Response& response)
     {
         const std::lock_guard lock(this->mutex);
