--- a/Source/Timers/Timer.h
+++ b/Source/Timers/Timer.h
@@ -19,10 +19,13 @@
 struct ShortWaits {
     static constexpr std::chrono::milliseconds Longest{ 250 };
 
+    // The names are asio's.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static typename Clock::duration to_wait_duration(const typename Clock::duration& span)
     {
         return std::min<typename Clock::duration>(span, Longest);
     }
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static typename Clock::duration to_wait_duration(const typename Clock::time_point& time)
     {
         return to_wait_duration(time - Clock::now());
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -147,6 +147,10 @@
     return faults;
 }
 
+constexpr Milliseconds Suspension{ 5000 };
+/** A request that crashes servers comes this often. */
+constexpr Milliseconds ComesEvery{ 110 };
+
 /** Like the other requests but for its body. */
 VirtualRequest harmfulFor(std::size_t instance)
 {
@@ -160,16 +164,14 @@
 
 std::vector<Fault> makeLaterFaults()
 {
-    constexpr Milliseconds suspension{ 5000 };
-    constexpr Milliseconds comesEvery{ 110 };
     const auto suspend = [](VirtualFleet& fleet) {
         fleet.freeze(StruckInstance);
-        fleet.clock().after(suspension, [&fleet] { fleet.wake(StruckInstance); });
+        fleet.clock().after(Suspension, [&fleet] { fleet.wake(StruckInstance); });
     };
-    const auto sendHarmful = [](VirtualFleet& fleet) { fleet.repeat(harmfulFor, comesEvery); };
+    const auto sendHarmful = [](VirtualFleet& fleet) { fleet.repeat(harmfulFor, ComesEvery); };
     const auto nothing = [](VirtualFleet&) {};
     return {
-        { .name = "suspended", .inject = suspend, .heal = nothing, .lasts = suspension },
+        { .name = "suspended", .inject = suspend, .heal = nothing, .lasts = Suspension },
         { .name = "crashing-request", .inject = sendHarmful, .heal = nothing, .isConfined = false },
     };
 }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -126,10 +126,8 @@
         this->pathOf(name + ".json") };
     if (this->options.hasCrashingRequest) {
         std::ofstream(this->clockPath(index)) << "0\n";
-        const std::vector<std::string> clock{ "/usr/bin/env",
-            "LD_PRELOAD=" + this->options.build + "/StandIns/libSuspendedClock.so",
-            "SUSPENDED_CLOCK=" + this->clockPath(index) };
-        command.insert(command.begin(), clock.begin(), clock.end());
+        command.front() = this->options.build + "/StandIns/SuspendableBurlreach";
+        command.insert(command.begin(), { "/usr/bin/env", "SUSPENDED_CLOCK=" + this->clockPath(index) });
     }
     instance.process = this->program(name, std::move(command));
     // Connections to an instance that is away go to the next one.
--- a/Tests/Soak/SuspendedClock.cpp
+++ b/Tests/Soak/SuspendedClock.cpp
@@ -1,5 +1,6 @@
-// Loaded into an instance by the soak: puts the clock that also counts while the
-// machine is suspended forward by the milliseconds that stand in a file. Paused
+// Linked into the program that the soak runs, in place of the system's function:
+// puts the clock that also counts while the machine is suspended forward by the
+// milliseconds that stand in a file. Paused
 // for a moment and put forward by seconds, a process sees just what a suspended
 // machine shows it: its other clock and the system's timers have stood still.
 
--- a/Tests/Timers/TimerTest.cpp
+++ b/Tests/Timers/TimerTest.cpp
@@ -27,8 +27,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<SuspendedClock, duration>;
-    static constexpr bool is_steady = true;
-
     static time_point now()
     {
         const auto real = std::chrono::duration_cast<duration>(RealTime::now().time_since_epoch());
