Count and log a retry that is withheld lest another server end

Found by reading the change: the retry was left out without a counter or a line of its own. Test: a request that was found to crash servers is refused at once at each instance, counted with its reason, told when to come back, sent nowhere and shown to operators; withheld retries are counted.

--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -39,6 +39,7 @@
     "refused_not_run",
     "refused_unknown",
     "retries_denied",
+    "retries_withheld",
     "hedges_won",
     "ejections",
     "callers_gone",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -43,6 +43,7 @@
     RefusedNotRun, // outcome "not run"
     RefusedUnknown, // outcome "unknown"
     RetriesDenied, // by the retry budget
+    RetriesWithheld, // of requests under which another server might end
     HedgesWon,
     Ejections,
     CallersGone,
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -355,8 +355,11 @@
     if (now >= request.deadline || !mayTryAgain(*request.route, request.history, end.result))
         return false;
     // Another server would end for an answer that no other one could give.
-    if (this->parts.crashes->mayHaveProof(request) || this->parts.crashes->isRefused(request, now))
+    if (this->parts.crashes->mayHaveProof(request) || this->parts.crashes->isRefused(request, now)) {
+        this->parts.counters->add(DecisionCount::RetriesWithheld);
+        actions.emplace_back(recordOfRequest(RecordTopic::Refusal, "retry_withheld", request));
         return false;
+    }
     Choice choice
         = request.service->pool.choose(this->wishOf(request, now), this->contextOf(request, now), *this->parts.random);
     if (!choice.server && choice.reason == NoChoice::NobodyTakes)
--- a/Tests/Node/CrashingRequestTest.cpp
+++ b/Tests/Node/CrashingRequestTest.cpp
@@ -165,6 +165,16 @@
         }
     }
 
+    /** Counted at all instances. */
+    template <typename Reason>
+    std::uint64_t counted(Reason reason)
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t instance = 0; instance < this->fleet.size(); ++instance)
+            sum += this->fleet.node(instance).counters().value(reason);
+        return sum;
+    }
+
     /** Ends of all servers, in the order of their times. */
     std::vector<Milliseconds> ends() const
     {
@@ -219,3 +229,24 @@
         CHECK_TEXT(outcome.ends <= MostEnds, found.c_str());
     }
 }
+
+TEST(CrashingRequest, IsRefusedAtOnceWithItsReasonAndCounted)
+{
+    StruckFleet struck(Cases.front());
+    struck.load({ 4000 });
+    CHECK(struck.counted(DecisionCount::ServerEndsSeen) >= EndsThatProve);
+    CHECK(struck.counted(DecisionCount::RequestsFoundCrashing) > 0);
+    CHECK(struck.counted(DecisionCount::RetriesWithheld) > 0);
+    const std::uint64_t before = struck.counted(RefusalReason::CrashesBackendServers);
+    const std::size_t sent = struck.fleet.sentAttempts().size();
+    for (std::size_t instance = 0; instance < struck.fleet.size(); ++instance) {
+        const auto caller = struck.fleet.send(instance, Harmful);
+        CHECK(struck.fleet.callers().at(caller).outcome == CallerOutcome::NotRun);
+        CHECK(struck.fleet.callers().at(caller).comeBackAfter.count > 0);
+        const auto shown = struck.fleet.node(instance).showCrashingRequests(struck.fleet.now());
+        const auto& requests = shown.requests();
+        CHECK(std::any_of(requests.begin(), requests.end(), [](const auto& item) { return item.refused(); }));
+    }
+    LONGS_EQUAL(before + struck.fleet.size(), struck.counted(RefusalReason::CrashesBackendServers));
+    LONGS_EQUAL(sent, struck.fleet.sentAttempts().size());
+}
