--- a/Source/Crashes/CrashTable.h
+++ b/Source/Crashes/CrashTable.h
@@ -44,7 +44,7 @@
 public:
     struct Options {
         std::string instance; // further tries are spread over the instances by this name
-        std::size_t mostRequests = 512; // 512 of 16 ends take some 600 KB
+        std::size_t mostRequests = 512; // 512 of 16 ends take some 600 KB, worked out
         std::size_t mostEnds = 16; // kept of one request; more of them say nothing new
         /** A request under which one server ended: callers that try again do so within seconds. */
         Milliseconds singlesKept{ 60000 };
--- a/Source/Node/CrashingRequests.h
+++ b/Source/Node/CrashingRequests.h
@@ -35,8 +35,8 @@
         /** An end is told so long after it: five hellos, and longer than an instance takes to find new watchers. */
         Milliseconds toldFor{ 6000 };
         Milliseconds tellGap{ 150 }; // between two tellings at once, when many servers end together
-        std::size_t mostTold = 12; // ends in a message, some 0.8 KB; three watchers tell all, each 1.2 s
-        std::size_t mostKept = 64; // requests kept in the store: 8 ends of each take some 32 KB
+        std::size_t mostTold = 12; // ends in a message, some 0.8 KB as worked out; three watchers tell all, each 1.2 s
+        std::size_t mostKept = 64; // requests kept in the store: 8 ends of each take some 32 KB, worked out
     };
 
     CrashingRequests(Options options, DecisionCounters& counters);
--- a/Source/Timers/Timer.h
+++ b/Source/Timers/Timer.h
@@ -13,7 +13,7 @@
  * The system's timers stand still while the machine is suspended. So after a
  * suspension of seconds a time-out of two seconds came up to two seconds late,
  * and nothing could be planned before it (test Timer); with this it comes 250 ms
- * late at most. It costs four wake-ups a second in each of two threads.
+ * late at most. That is four wake-ups a second at most in each of two threads.
  */
 template <typename Clock>
 struct ShortWaits {
