Sight: tell each field of answers that nothing here reads

Why: of the hypotheses on requests to a leaving server, "not read" and "read and lost" look the same in the logs, since no line says which fields answers carry. Now the header of each answer is looked at when it is there, also of answers that are skipped or break off, of attempts and probes; a name that the dialect does not know is told once (answer_field_unread), 32 names at most. No decision changes. Cost: a pass over some eight fields an answer.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -39,6 +39,7 @@
 
 void HttpExchange::newParser()
 {
+    this->isHeaderTold = false;
     this->parser.emplace();
     this->parser->eager(true);
     this->parser->skip(this->options.isHead);
@@ -135,6 +136,9 @@
         boost::beast::error_code error;
         const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
+        this->tellHeader();
+        if (this->isOver)
+            return;
         if (error && error != http::error::need_more)
             return this->finish(HttpExchangeResult::Broken, std::nullopt);
         if (this->parser->is_done())
@@ -145,6 +149,14 @@
     this->read();
 }
 
+void HttpExchange::tellHeader()
+{
+    if (this->isHeaderTold || !this->options.headerRead || !this->parser->is_header_done())
+        return;
+    this->isHeaderTold = true;
+    this->options.headerRead(this->parser->get());
+}
+
 void HttpExchange::answerParsed()
 {
     HttpResponse response = this->parser->release();
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -48,6 +48,11 @@
         std::size_t longestAnswer = 67108864;
         /** False for an answer that belongs to another request; it is skipped. Empty: all are taken. */
         std::function<bool(const HttpResponse&)> isOwnAnswer;
+        /**
+         * Called once for each answer when its header is there, also for one that is skipped or breaks off later. The
+         * body has not come by then. Empty: nobody asks.
+         */
+        std::function<void(const HttpResponse&)> headerRead;
     };
     using Completion = std::function<void(HttpExchangeEnd)>;
 
@@ -71,6 +76,7 @@
     void received(const asio::error_code& error, std::size_t size);
     void parse();
     bool finishUnframed();
+    void tellHeader();
     void answerParsed();
     void newParser();
     void limitTime(Milliseconds span, HttpExchangeResult result);
@@ -92,6 +98,7 @@
     bool isWritten = false;
     bool isReused = false;
     bool isSkipping = false; // an answer of another request came before
+    bool isHeaderTold = false; // of the answer that is being read
     bool isOver = false;
 };
 
--- a/Source/Node/Events.cpp
+++ b/Source/Node/Events.cpp
@@ -24,6 +24,11 @@
     return "attempt_ended";
 }
 
+std::string_view nameOf(const UnreadFieldSeen&)
+{
+    return "unread_field_seen";
+}
+
 std::string_view nameOf(const ProbeEnded&)
 {
     return "probe_ended";
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -51,6 +51,13 @@
     AttemptEnd end;
 };
 
+/** An answer held a field that nothing here reads, for the first time. */
+struct UnreadFieldSeen {
+    std::string backendServer;
+    std::string field;
+    std::string value; // its beginning
+};
+
 /** A probe that was sent has ended. */
 struct ProbeEnded {
     ProbeNumber probe = 0;
@@ -112,9 +119,9 @@
 /** The time of Node::nextControlDue() has come. */
 struct ControlTimer { };
 
-using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, ProbeEnded, ServerChecked,
-    PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked, InForceAsked, StopAsked, RequestTimer,
-    ControlTimer>;
+using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, UnreadFieldSeen, ProbeEnded,
+    ServerChecked, PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked, InForceAsked,
+    StopAsked, RequestTimer, ControlTimer>;
 
 /** As it stands in log lines; of a peer's message, what it holds. */
 std::string_view nameOf(const Event& event);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -168,6 +168,12 @@
         this->leavingSign(*server, *event.end.leaving, now, actions);
 }
 
+void Node::dispatch(const UnreadFieldSeen& event, Milliseconds, Actions& actions)
+{
+    actions.emplace_back(
+        beliefOf("answer_field_unread", event.backendServer).with("field", event.field).with("value", event.value));
+}
+
 void Node::dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions)
 {
     const auto server = this->probes.ended(event.probe);
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -79,6 +79,7 @@
     void dispatch(const RefusedEarly& event, Milliseconds now, Actions& actions);
     void dispatch(const CallerGone& event, Milliseconds now, Actions& actions);
     void dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions);
+    void dispatch(const UnreadFieldSeen& event, Milliseconds now, Actions& actions);
     void dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions);
     void dispatch(const ServerChecked& event, Milliseconds now, Actions& actions);
     void dispatch(const PeerMessageArrived& event, Milliseconds now, Actions& actions);
--- a/Source/Traffic/OwnTrafficDialect.cpp
+++ b/Source/Traffic/OwnTrafficDialect.cpp
@@ -3,6 +3,9 @@
 #include "Traffic/LoadText.h"
 #include "Traffic/OwnHeaders.h"
 
+#include <algorithm>
+#include <array>
+
 namespace burlreach {
 
 namespace {
@@ -10,6 +13,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned FirstErrorStatus = 500;
+constexpr std::array<const char*, 4> AnswerFields{ RequestIdHeader, NotRunHeader, LoadHeader, LeavingHeader };
 
 http::status statusOf(const RefuseRequest& refusal)
 {
@@ -68,6 +72,12 @@
     setField(request, BackendServerHeader, backendServer);
 }
 
+bool OwnTrafficDialect::knowsAnswerField(std::string_view field) const
+{
+    return std::any_of(AnswerFields.begin(), AnswerFields.end(),
+        [field](const char* known) { return boost::beast::iequals(field, known); });
+}
+
 bool OwnTrafficDialect::isAnswerTo(const HttpResponse& response, std::string_view requestId) const
 {
     const std::string_view told = valueOf(response, RequestIdHeader);
--- a/Source/Traffic/OwnTrafficDialect.h
+++ b/Source/Traffic/OwnTrafficDialect.h
@@ -11,6 +11,7 @@
     bool variesByAttempt(std::string_view field) const override;
     void writeAttempt(HttpRequest& request, const AttemptWords& words) const override;
     void writeProbe(HttpRequest& request, const std::string& backendServer) const override;
+    bool knowsAnswerField(std::string_view field) const override;
     bool isAnswerTo(const HttpResponse& response, std::string_view requestId) const override;
     AttemptEnd readAnswer(const HttpResponse& response, std::string_view backendServer) const override;
     ProbeEnd readProbe(const HttpResponse& response, std::string_view backendServer) const override;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -171,6 +171,8 @@
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.isOwnAnswer = [dialect = this->parts.dialect, id = request.requestId](
                                const HttpResponse& response) { return dialect->isAnswerTo(response, id); };
+    exchange.headerRead
+        = [this, server = action.backendServer](const HttpResponse& header) { this->headerRead(server, header); };
     const RequestNumber number = action.request;
     const AttemptNumber attempt = action.attempt;
     Attempt& started = request.attempts[attempt];
@@ -184,6 +186,13 @@
     started.exchange->start(std::move(kept));
 }
 
+void RequestDesk::headerRead(const std::string& backendServer, const HttpResponse& header)
+{
+    for (UnreadField& field : this->unreadFields.newOnes(header, *this->parts.dialect))
+        this->parts.sink->post(UnreadFieldSeen{
+            .backendServer = backendServer, .field = std::move(field.name), .value = std::move(field.value) });
+}
+
 AttemptEnd RequestDesk::endOf(const HttpExchangeEnd& end, const std::string& backendServer) const
 {
     if (end.response)
@@ -293,6 +302,8 @@
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
+    options.headerRead
+        = [this, server = probe.backendServer](const HttpResponse& header) { this->headerRead(server, header); };
     const bool wasKept = kept != nullptr;
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
         [this, probe, wasKept](HttpExchangeEnd end) { this->probeEnded(probe, wasKept, std::move(end)); });
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -11,6 +11,7 @@
 #include "Node/RepeatLookup.h"
 #include "Timers/Timer.h"
 #include "Traffic/TrafficDialect.h"
+#include "Traffic/UnreadFields.h"
 
 #include <asio/io_context.hpp>
 #include <cstdint>
@@ -98,6 +99,8 @@
     void callerGone(const std::shared_ptr<HttpSession>& session) override;
     void sessionRefused() override;
 
+    /** The header of an answer has come, whatever becomes of the answer. */
+    void headerRead(const std::string& backendServer, const HttpResponse& header);
     HttpRequest forwarded(const Request& request, const SendAttempt& action) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
     AttemptEnd endOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
@@ -113,6 +116,7 @@
     HttpListener listener;
     Timer acceptTimer;
     HttpConnectionPool connections;
+    UnreadFields unreadFields;
     std::unordered_map<RequestNumber, Request> requests;
     std::unordered_multimap<std::uint64_t, RequestNumber> bySession;
     RequestNumber last = 0;
--- a/Source/Traffic/TrafficDialect.h
+++ b/Source/Traffic/TrafficDialect.h
@@ -36,6 +36,8 @@
     virtual void writeAttempt(HttpRequest& request, const AttemptWords& words) const = 0;
     virtual void writeProbe(HttpRequest& request, const std::string& backendServer) const = 0;
 
+    /** True for the dialect's own fields of answers: each is read, or is known to need no reading. */
+    virtual bool knowsAnswerField(std::string_view field) const = 0;
     /** False when a backend server's answer belongs to another request. */
     virtual bool isAnswerTo(const HttpResponse& response, std::string_view requestId) const = 0;
     virtual AttemptEnd readAnswer(const HttpResponse& response, std::string_view backendServer) const = 0;
--- /dev/null
+++ b/Tests/Traffic/UnreadFieldsTest.cpp
@@ -0,0 +1,64 @@
+#include "Traffic/UnreadFields.h"
+#include "Traffic/OwnTrafficDialect.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+struct Case {
+    const char* name;
+    std::vector<const char*> fields; // of one answer, the first of all
+    std::vector<const char*> told;
+};
+
+const std::vector<Case> Cases{
+    { "fields of HTTP", { "Content-Type", "Retry-After", "Keep-Alive" }, {} },
+    { "fields of the dialect", { "Burlreach-Load", "burlreach-not-run", "Burlreach-Request-Id" }, {} },
+    { "one that nothing reads", { "Burlreach-Load", "Server-Mood" }, { "Server-Mood" } },
+    { "the same twice", { "Server-Mood", "Server-Mood" }, { "Server-Mood" } },
+};
+
+HttpResponse answerWith(const std::vector<const char*>& fields)
+{
+    HttpResponse answer;
+    for (const char* field : fields)
+        answer.insert(field, "1");
+    return answer;
+}
+
+}
+
+TEST_GROUP(UnreadFields)
+{
+    OwnTrafficDialect dialect;
+    UnreadFields unread;
+};
+
+TEST(UnreadFields, EachIsToldOnce)
+{
+    for (const Case& item : Cases) {
+        this->unread = {};
+        const HttpResponse answer = answerWith(item.fields);
+        const auto told = this->unread.newOnes(answer, this->dialect);
+        LONGS_EQUAL_TEXT(item.told.size(), told.size(), item.name);
+        for (std::size_t index = 0; index < told.size(); ++index)
+            STRCMP_EQUAL_TEXT(item.told[index], told[index].name.c_str(), item.name);
+        LONGS_EQUAL_TEXT(0, this->unread.newOnes(answer, this->dialect).size(), item.name);
+    }
+}
+
+TEST(UnreadFields, NamesThatAServerMakesUpAreBounded)
+{
+    std::size_t told = 0;
+    for (int number = 0; number < 1000; ++number) {
+        const std::string name = "Mood-" + std::to_string(number);
+        told += this->unread.newOnes(answerWith({ name.c_str() }), this->dialect).size();
+    }
+    LONGS_EQUAL(32, told);
+}
