--- /dev/null
+++ b/Tests/Platform/TrafficUnderTest.cpp
@@ -0,0 +1,152 @@
+#include "Tests/Platform/TrafficUnderTest.h"
+
+#include "Base/ChronoDuration.h"
+#include "KvFactTranslator.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+namespace burlreach {
+
+namespace {
+
+constexpr const char* Configuration = R"({"version":"00000001",
+    "routes":{"r":{"host":"x.example","path_prefix":"/a/","type":"safe","timeout":"2000ms","target_latency":"300ms",
+        "priority":0,"service":"s","max_attempts":3}},
+    "services":{"s":{"health_check_path":"/health","max_connections":100}}})";
+constexpr Milliseconds Step{ 1 };
+
+Node::Options nodeOptions()
+{
+    Node::Options options;
+    options.name = "entry-1";
+    options.dataCentre = "dc-1";
+    options.incarnation = 1;
+    options.seed = 1;
+    options.peersAddress = { .host = "127.0.0.1", .port = 1 };
+    options.retries = { .share = 0.2, .slack = 64, .window = { 10000 } };
+    options.translator = std::make_shared<platform::KvFactTranslator>();
+    return options;
+}
+
+std::uint16_t freePort(asio::io_context& context)
+{
+    const asio::ip::tcp::acceptor probe(context, { asio::ip::address_v4::loopback(), 0 });
+    return probe.local_endpoint().port();
+}
+
+}
+
+std::string CallerAnswer::field(std::string_view name) const
+{
+    const std::string start = "\r\n" + std::string(name) + ": ";
+    const std::size_t at = this->text.find(start);
+    if (at == std::string::npos)
+        return {};
+    const std::size_t value = at + start.size();
+    return this->text.substr(value, this->text.find("\r\n", value) - value);
+}
+
+TrafficUnderTest::TrafficUnderTest(asio::io_context& givenContext)
+    : context(&givenContext)
+    , node(nodeOptions())
+    , port(freePort(givenContext))
+    , desk(givenContext, { .address = { .host = "127.0.0.1", .port = this->port } },
+          { .dialect = &this->dialect, .clock = &this->clock, .sink = this, .metrics = &this->metrics })
+{
+    this->desk.start();
+    this->tell("op/config", Configuration, false);
+}
+
+void TrafficUnderTest::post(const Event& event)
+{
+    Actions actions;
+    this->node.handle(event, this->clock.now(), actions);
+    for (const Action& action : actions)
+        std::visit([this](const auto& item) { this->execute(item); }, action);
+}
+
+void TrafficUnderTest::tell(const std::string& key, const std::string& value, bool isRemoved)
+{
+    peers::PeerMessage message;
+    message.set_version(PeerProtocolVersion);
+    peers::Push* push = message.mutable_push();
+    push->set_base_revision(this->revision);
+    push->set_store_revision(++this->revision);
+    peers::Item* item = push->add_items();
+    item->set_key(key);
+    item->set_value(value);
+    item->set_removed(isRemoved);
+    item->set_revision(this->revision);
+    this->post(PeerMessageArrived{ .message = message });
+}
+
+void TrafficUnderTest::putServer(const std::string& id, const NetworkAddress& address, std::uint64_t born)
+{
+    std::string record = R"({"address":")" + address.text() + R"(",)";
+    if (born)
+        record += R"("born":)" + std::to_string(born) + ",";
+    record += R"("info":{"service":"s","version":"v1","zone":"dc-1","slots":3},)";
+    record += R"("status":{"state":"ready","sequence":1,"cold_remaining":"0ms"}})";
+    this->tell("servers/" + id, record, false);
+}
+
+void TrafficUnderTest::removeServer(const std::string& id)
+{
+    this->tell("servers/" + id, "", true);
+}
+
+void TrafficUnderTest::pass(Milliseconds span)
+{
+    const Milliseconds end = this->clock.now() + span;
+    do {
+        this->context->restart();
+        this->context->run_for(toDuration(Step));
+        if (this->node.nextRequestDue(this->clock.now()) <= this->clock.now())
+            this->post(RequestTimer{});
+    } while (this->clock.now() < end);
+}
+
+CallerAnswer TrafficUnderTest::call()
+{
+    constexpr Milliseconds patience{ 2500 };
+    return this->call(patience);
+}
+
+CallerAnswer TrafficUnderTest::call(Milliseconds patience)
+{
+    constexpr std::size_t statusAt = 9; // behind "HTTP/1.1 "
+    asio::ip::tcp::socket socket(*this->context);
+    socket.connect({ asio::ip::address_v4::loopback(), this->port });
+    asio::write(socket,
+        asio::buffer("GET /a/b HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 2000\r\nRequest-Id: r"
+            + std::to_string(++this->calls) + "\r\n\r\n"));
+    socket.non_blocking(true);
+    const Milliseconds start = this->clock.now();
+    CallerAnswer answer;
+    while (answer.text.find("\r\n\r\n") == std::string::npos && this->clock.now() - start < patience) {
+        this->pass(Step);
+        std::array<char, 4096> bytes{};
+        asio::error_code error;
+        answer.text.append(bytes.data(), socket.read_some(asio::buffer(bytes), error));
+        if (error == asio::error::eof)
+            break;
+    }
+    answer.took = this->clock.now() - start;
+    if (answer.text.size() > statusAt)
+        answer.status = static_cast<unsigned>(std::stoul(answer.text.substr(statusAt)));
+    return answer;
+}
+
+std::string TrafficUnderTest::stateOf(const std::string& id) const
+{
+    const v1::ShowLoadAnswer load = this->node.showLoad("s", this->clock.now());
+    for (const v1::BackendServerLoad& server : load.backend_servers()) {
+        if (server.backend_server() == id)
+            return server.state();
+    }
+    return {};
+}
+
+}
