Take a backend server at its word when it says in any answer that it leaves

What callers saw: their requests went on reaching a server that had said in all its answers that it leaves, 3.9 s after the instance had passed such an answer on; such a server may end under them. Cause: the platform's header dialect did not read that field. Ruled out: that requests were chosen before and sent late (6 ms from caller to server). The decisions would have lost the word again, for five reasons that the own form had as well: a health answer took it back; it went with the record; it was heard after the retry had been chosen; never in answers that are skipped, break off or come when nobody waits; what was chosen before was still sent.

Change: the header of each answer is read when it is there (ServerNoticed). The word is kept by id and life apart from the store's records (NoticeBook), and only a later life ends it. What is not yet written ends as not sent; requests that wait are looked at again and refused at once when each server leaves. The probes that asked leaving servers again are gone. Why it holds: no later document, health answer or outage touches the book, and each choice is made behind it.

Tests replaced, as strict: the latest sign counts and a leaving server is asked again; now nothing but a new life ends the word. The soak names such lives.

--- a/Source/Measurement/ProbeDesk.cpp
+++ b/Source/Measurement/ProbeDesk.cpp
@@ -75,6 +75,7 @@
     this->asked[number] = server;
     return Probe{ .number = number,
         .backendServer = server->id(),
+        .life = server->record().life,
         .address = server->record().address,
         .path = path,
         .timeout = this->options.timeout };
--- a/Source/Measurement/ProbeDesk.h
+++ b/Source/Measurement/ProbeDesk.h
@@ -21,6 +21,7 @@
 struct Probe {
     ProbeNumber number = 0;
     std::string backendServer;
+    std::uint64_t life = 0; // of the server
     NetworkAddress address;
     std::string path;
     Milliseconds timeout;
@@ -31,7 +32,6 @@
     bool isAnswered = false;
     bool isOtherServer = false; // another backend server has the address now
     std::optional<LoadFigures> load;
-    std::optional<bool> leaving;
     std::optional<Milliseconds> coldRemaining; // as it told; zero: it is warm
 };
 
--- a/Source/Measurement/ServerSearch.cpp
+++ b/Source/Measurement/ServerSearch.cpp
@@ -51,8 +51,6 @@
             || age <= this->options.figuresTellFor)
             ++known;
     }
-    if (const auto leaving = pool.leavingOfLongAgo(context.now))
-        this->askOne(leaving, search, service, context.now, questions);
     if (search.asked.empty())
         return false;
     ++search.rounds;
--- a/Source/Node/Actions.h
+++ b/Source/Node/Actions.h
@@ -30,6 +30,7 @@
     RequestNumber request = 0;
     AttemptNumber attempt = 0;
     std::string backendServer; // the life that must take it; any other refuses
+    std::uint64_t life = 0; // of the server, as its record tells it
     NetworkAddress address;
     Milliseconds timeLeft; // until the final answer is due
     bool mayRepeat = false; // the request may run more than once
--- a/Source/Node/Events.cpp
+++ b/Source/Node/Events.cpp
@@ -24,6 +24,11 @@
     return "attempt_ended";
 }
 
+std::string_view nameOf(const ServerNoticed&)
+{
+    return "server_noticed";
+}
+
 std::string_view nameOf(const UnreadFieldSeen&)
 {
     return "unread_field_seen";
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -7,6 +7,7 @@
 #include "Measurement/ProbeDesk.h"
 #include "Metrics/Reasons.h"
 #include "Routing/AttemptResult.h"
+#include "Routing/ServerNotice.h"
 #include "Store/StoreCall.h"
 #include "operators.pb.h"
 #include "peers.pb.h"
@@ -51,6 +52,13 @@
     AttemptEnd end;
 };
 
+/** The header of an answer to an attempt or a probe says something of the server itself; it comes before their end. */
+struct ServerNoticed {
+    std::string backendServer;
+    std::uint64_t life = 0;
+    ServerNotice notice;
+};
+
 /** An answer held a field that nothing here reads, for the first time. */
 struct UnreadFieldSeen {
     std::string backendServer;
@@ -119,9 +127,9 @@
 /** The time of Node::nextControlDue() has come. */
 struct ControlTimer { };
 
-using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, UnreadFieldSeen, ProbeEnded,
-    ServerChecked, PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked, InForceAsked,
-    StopAsked, RequestTimer, ControlTimer>;
+using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, ServerNoticed, UnreadFieldSeen,
+    ProbeEnded, ServerChecked, PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked,
+    InForceAsked, StopAsked, RequestTimer, ControlTimer>;
 
 /** As it stands in log lines; of a peer's message, what it holds. */
 std::string_view nameOf(const Event& event);
--- a/Source/Node/LeavingSigns.cpp
+++ b/Source/Node/LeavingSigns.cpp
@@ -2,21 +2,36 @@
 
 #include "Node/ServiceTable.h"
 
+#include <utility>
+
 namespace burlreach {
 
-LeavingSigns::LeavingSigns(Options givenOptions, const ServiceTable& givenServices)
+LeavingSigns::LeavingSigns(Options givenOptions, NoticeBook& givenBook, const ServiceTable& givenServices)
     : options(givenOptions)
+    , book(&givenBook)
     , services(&givenServices)
 {
 }
 
-bool LeavingSigns::heard(const std::string& backendServer, std::uint64_t life, bool leaving, Milliseconds at)
+void LeavingSigns::note(const std::string& backendServer, const Sign& sign, bool isHeardHere)
 {
+    // Kept also of a server that is not known at the moment: its record may come back.
+    if (!this->book->heardLeaving(backendServer, sign.life, sign.at))
+        return;
     const auto server = this->services->backendServer(backendServer);
-    if (!server || server->record().life != life || !server->leavingSign(leaving, at))
-        return false;
-    this->signs[backendServer] = { .life = life, .leaving = leaving, .at = at };
-    return true;
+    if (!server || server->record().life != sign.life)
+        return;
+    server->setLeaving();
+    // Everybody reads the record.
+    if (server->record().draining)
+        return;
+    this->signs[backendServer] = sign;
+    this->found.push_back({ .backendServer = backendServer, .isHeardHere = isHeardHere });
+}
+
+void LeavingSigns::heard(const std::string& backendServer, std::uint64_t life, Milliseconds now)
+{
+    this->note(backendServer, { .life = life, .at = now }, true);
 }
 
 void LeavingSigns::fill(Messages& messages, Milliseconds now)
@@ -26,19 +41,24 @@
         peers::LeavingSign* message = messages.Add();
         message->set_backend_server(backendServer);
         message->set_life(sign.life);
-        message->set_leaving(sign.leaving);
+        message->set_leaving(true);
         message->set_age_milliseconds(static_cast<std::uint32_t>((now - sign.at).count));
     }
 }
 
-bool LeavingSigns::receive(const Messages& messages, Milliseconds now)
+void LeavingSigns::receive(const Messages& messages, Milliseconds now)
 {
-    bool isNews = false;
     for (const peers::LeavingSign& message : messages) {
-        const Milliseconds age{ static_cast<double>(message.age_milliseconds()) };
-        isNews = this->heard(message.backend_server(), message.life(), message.leaving(), now - age) || isNews;
+        const Sign sign{ .life = message.life(),
+            .at = now - Milliseconds{ static_cast<double>(message.age_milliseconds()) } };
+        if (message.leaving())
+            this->note(message.backend_server(), sign, false);
     }
-    return isNews;
+}
+
+std::vector<LeavingServer> LeavingSigns::takeFound()
+{
+    return std::exchange(this->found, {});
 }
 
 }
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -85,22 +85,24 @@
     }
 }
 
-bool NewsExchange::receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
+void NewsExchange::receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
 {
     if (message.version() != PeerProtocolVersion) {
         this->parts.counters->add(DecisionCount::PeerMessagesRefused);
-        return false;
+        return;
     }
     switch (message.body_case()) {
     case peers::PeerMessage::kHello:
         this->helloReceived(message.hello(), now, actions);
         this->parts.crashes->receive(message.hello().crashes(), this->parts.store->isWatching(), now, actions);
-        return this->parts.signs->receive(message.hello().leaving_signs(), now);
+        this->parts.signs->receive(message.hello().leaving_signs(), now);
+        break;
     case peers::PeerMessage::kNews:
         this->newsReceived(message, now, actions);
         // All were told by the one that watches.
         this->parts.crashes->receive(message.news().crashes(), false, now, actions);
-        return this->parts.signs->receive(message.news().leaving_signs(), now);
+        this->parts.signs->receive(message.news().leaving_signs(), now);
+        break;
     case peers::PeerMessage::kPull: {
         peers::PeerMessage answer;
         *answer.mutable_push() = this->parts.store->pushFor(message.pull());
@@ -127,7 +129,6 @@
         this->parts.counters->add(DecisionCount::PeerMessagesRefused);
         break;
     }
-    return false;
 }
 
 void NewsExchange::helloReceived(const peers::Hello& hello, Milliseconds now, Actions& actions)
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -59,8 +59,7 @@
 
     NewsExchange(Options options, Parts parts);
 
-    /** True when a sign of leaving was news here. */
-    bool receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
+    void receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
     /** The store confirmed or changed what is known: everyone should hear. */
     void spread(Milliseconds now, Actions& actions);
     /** Something may be known here for the first time: those that know nothing should hear. */
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -107,8 +107,10 @@
 Node::Node(const Options& givenOptions)
     : options(givenOptions)
     , random(givenOptions.seed)
-    , services({ .policies = policiesOf(givenOptions), .retries = givenOptions.retries }, this->random)
-    , signs({}, this->services)
+    , notices({})
+    , services({ .policies = policiesOf(givenOptions), .retries = givenOptions.retries, .notices = &this->notices },
+          this->random)
+    , signs({}, this->notices, this->services)
     , crashes({ .table = { .instance = givenOptions.name } }, this->decisionCounters)
     , crashRecorder({}, this->storeCalls, this->random)
     , store(readerOf(givenOptions), *this, this->storeCalls, this->random, this->decisionCounters)
@@ -137,6 +139,7 @@
 void Node::handle(const Event& event, Milliseconds now, Actions& actions)
 {
     std::visit([&](const auto& item) { this->dispatch(item, now, actions); }, event);
+    this->passOnLeaving(now, actions);
     this->passOnCrashes(now, actions);
     for (AnswerChange& answer : this->changeAnswers)
         actions.emplace_back(std::move(answer));
@@ -164,8 +167,12 @@
     const auto server = this->flow.attemptEnded(event, now, actions);
     if (server && event.end.result == AttemptResult::OtherServer)
         this->crashes.replaced(server->id(), now, actions);
-    if (server && event.end.leaving)
-        this->leavingSign(*server, *event.end.leaving, now, actions);
+}
+
+void Node::dispatch(const ServerNoticed& event, Milliseconds now, Actions&)
+{
+    if (event.notice.isLeaving)
+        this->signs.heard(event.backendServer, event.life, now);
 }
 
 void Node::dispatch(const UnreadFieldSeen& event, Milliseconds, Actions& actions)
@@ -191,8 +198,6 @@
         this->decisionCounters.add(DecisionCount::ProbesFailed);
         server->probeFailed();
     }
-    if (event.end.leaving)
-        this->leavingSign(*server, *event.end.leaving, now, actions);
     this->flow.figuresCame(*server, now, actions);
 }
 
@@ -201,21 +206,29 @@
     this->crashes.checked(event, now, actions);
 }
 
-void Node::leavingSign(const BackendServerState& server, bool leaving, Milliseconds now, Actions& actions)
+void Node::passOnLeaving(Milliseconds now, Actions& actions)
 {
-    if (!this->signs.heard(server.id(), server.record().life, leaving, now))
+    const std::vector<LeavingServer> found = this->signs.takeFound();
+    if (found.empty())
         return;
-    DecisionRecord record = beliefOf("leaving_sign", server.id());
-    record.with("leaving", leaving ? "yes" : "no");
-    actions.emplace_back(std::move(record));
-    this->news.tellAtOnce(now, actions);
+    bool isHeardHere = false;
+    for (const LeavingServer& server : found) {
+        isHeardHere = isHeardHere || server.isHeardHere;
+        actions.emplace_back(beliefOf("leaving_sign", server.backendServer)
+                                 .with("heard_from", server.isHeardHere ? "server" : "news")
+                                 .with("confirmed_age", (now - this->store.confirmedAt()).count));
+        // What was chosen before and is not yet written goes elsewhere.
+        actions.emplace_back(StopSendingTo{ .backendServer = server.backendServer });
+    }
+    if (isHeardHere || this->store.isWatching())
+        this->news.tellAtOnce(now, actions);
+    // Those that wait for one of them would wait in vain.
+    this->flow.capacityChanged(now, actions);
 }
 
 void Node::dispatch(const PeerMessageArrived& event, Milliseconds now, Actions& actions)
 {
-    const bool isNews = this->news.receive(event.message, now, actions);
-    if (isNews && this->store.isWatching())
-        this->news.tellAtOnce(now, actions);
+    this->news.receive(event.message, now, actions);
     this->askStore(now, actions);
 }
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -79,6 +79,7 @@
     void dispatch(const RefusedEarly& event, Milliseconds now, Actions& actions);
     void dispatch(const CallerGone& event, Milliseconds now, Actions& actions);
     void dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions);
+    void dispatch(const ServerNoticed& event, Milliseconds now, Actions& actions);
     void dispatch(const UnreadFieldSeen& event, Milliseconds now, Actions& actions);
     void dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions);
     void dispatch(const ServerChecked& event, Milliseconds now, Actions& actions);
@@ -108,8 +109,8 @@
     void takeKeptCrashes(const StoreItem& item, Milliseconds now, Actions& actions);
     void noteStaleness(Milliseconds now, Actions& actions);
     void noteWatching(Actions& actions);
-    /** The server said whether it is leaving. */
-    void leavingSign(const BackendServerState& server, bool leaving, Milliseconds now, Actions& actions);
+    /** Stops what is on its way to servers that were found to be leaving, and tells others. */
+    void passOnLeaving(Milliseconds now, Actions& actions);
 
     Options options;
     bool stopping = false;
@@ -117,6 +118,7 @@
     Random random;
     DecisionCounters decisionCounters;
     StoreCallNumbers storeCalls;
+    NoticeBook notices;
     ServiceTable services;
     LeavingSigns signs;
     CrashingRequests crashes;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -203,6 +203,11 @@
             this->refuse(request, RefusalReason::DataCentreEmptied, now, actions);
             continue;
         }
+        // No server of today will take it, so waiting would only cost its caller time.
+        if (choice.reason == NoChoice::AllLeave) {
+            this->refuse(request, RefusalReason::NoBackendServer, now, actions);
+            continue;
+        }
         held.push_back(*number);
         // Another one may still be in time where this one would be late.
         if (choice.reason != NoChoice::Slow && choice.reason != NoChoice::Unheard)
@@ -258,6 +263,7 @@
     actions.emplace_back(SendAttempt{ .request = request.number,
         .attempt = attempt,
         .backendServer = server->id(),
+        .life = server->record().life,
         .address = server->record().address,
         .timeLeft = request.deadline - now,
         .mayRepeat = request.route->repeat == Repeat::MayRepeat });
@@ -362,7 +368,7 @@
     }
     Choice choice
         = request.service->pool.choose(this->wishOf(request, now), this->contextOf(request, now), *this->parts.random);
-    if (!choice.server && choice.reason == NoChoice::NobodyTakes)
+    if (choice.reason == NoChoice::NobodyTakes || choice.reason == NoChoice::AllLeave)
         return false;
     if (needsBudget(end.result) && !request.service->retryBudget.take(now)) {
         this->parts.counters->add(DecisionCount::RetriesDenied);
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -92,7 +92,11 @@
 
 void ServiceTable::putIn(ServiceState& service, const BackendServerRecord& record, Milliseconds now) const
 {
-    service.pool.put(record, now)->setEmptied(this->emptied.contains(record.dataCentre));
+    const auto server = service.pool.put(record, now);
+    server->setEmptied(this->emptied.contains(record.dataCentre));
+    // What it said outlives its record, which may have been gone for a moment.
+    if (this->options.notices && this->options.notices->isLeaving(record.id, record.life))
+        server->setLeaving();
 }
 
 void ServiceTable::order(const DataCentreOrder& order, Milliseconds now, std::vector<DataCentreOrder>& changes)
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -6,6 +6,7 @@
 #include "Node/PolicyFactory.h"
 #include "Node/ServiceState.h"
 #include "Node/TranslatedItem.h"
+#include "Routing/NoticeBook.h"
 #include "Routing/WeightedTurn.h"
 
 #include <cstddef>
@@ -42,6 +43,7 @@
     struct Options {
         std::shared_ptr<const PolicyFactory> policies;
         RetryLimits retries;
+        const NoticeBook* notices = nullptr; // outlives the table
     };
 
     ServiceTable(Options options, Random& random);
--- a/Source/Routing/AttemptResult.h
+++ b/Source/Routing/AttemptResult.h
@@ -46,7 +46,6 @@
 struct AttemptEnd {
     AttemptResult result = AttemptResult::Broken;
     std::optional<LoadFigures> load;
-    std::optional<bool> leaving; // what the backend server said of itself
     int status = 0; // of the answer; 0: there was none
     bool isPromise = false; // the status says "not run" although the answer proves nothing
 };
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -61,7 +61,7 @@
 
 bool BackendServerState::takesNewRequests() const
 {
-    return !this->description.draining && !this->leaving && !this->replaced && !this->emptied;
+    return !this->isLeaving() && !this->replaced && !this->emptied;
 }
 
 void BackendServerState::sent(AttemptNumber attempt, Milliseconds now)
@@ -190,16 +190,6 @@
         && static_cast<double>(this->inFlight()) + this->lastReport.others < 1;
 }
 
-bool BackendServerState::leavingSign(bool says, Milliseconds at)
-{
-    if (at <= this->leavingAt)
-        return false;
-    this->leavingAt = at;
-    const bool changed = this->leaving != says;
-    this->leaving = says;
-    return changed;
-}
-
 void BackendServerState::eject(Milliseconds until)
 {
     this->ejectedUntil = until;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -43,8 +43,8 @@
     void reported(const LoadFigures& figures, Milliseconds now);
     /** A probe found nobody at the address, or heard nothing. */
     void probeFailed();
-    /** True when the sign is newer than the known one and says otherwise. */
-    bool leavingSign(bool leaving, Milliseconds at);
+    /** It said itself that it is leaving: this life gets nothing new any more. */
+    void setLeaving() { this->leaving = true; }
     /** It said itself for how long it is cold; zero: it is not. */
     void coldFor(Milliseconds remaining, Milliseconds now) { this->coldUntil = now + remaining; }
     /** Its data centre is emptied, or was taken back into use. */
@@ -59,13 +59,8 @@
     std::size_t inFlight() const { return this->flights.size(); }
     bool hasConnectionLeft() const { return this->flights.size() < this->connectionShare; }
 
-    bool isLeaving() const { return this->leaving; }
-    /** Nothing else than its sign says that it leaves. */
-    bool isLeavingByItsWord() const
-    {
-        return this->leaving && !this->description.draining && !this->replaced && !this->emptied;
-    }
-    Milliseconds leavingSignAt() const { return this->leavingAt; }
+    /** By its own word or its record. */
+    bool isLeaving() const { return this->leaving || this->description.draining; }
     /** False for draining, leaving and replaced backend servers, and in an emptied data centre. */
     bool takesNewRequests() const;
     bool isEmptied() const { return this->emptied; }
@@ -110,7 +105,6 @@
     bool replaced = false;
     bool emptied = false;
     bool leaving = false;
-    Milliseconds leavingAt = LongAgo;
     std::vector<Flight> flights;
     LoadReport lastReport;
     Milliseconds distrustedUntil = LongAgo;
--- /dev/null
+++ b/Source/Routing/NoticeBook.cpp
@@ -0,0 +1,54 @@
+#include "Routing/NoticeBook.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+NoticeBook::NoticeBook(Options givenOptions)
+    : options(givenOptions)
+{
+}
+
+NoticeBook::Entry* NoticeBook::entryOf(const std::string& backendServer, std::uint64_t life, Milliseconds now)
+{
+    const auto [found, isNew] = this->entries.try_emplace(backendServer, Entry{ .life = life, .heardAt = now });
+    Entry& entry = found->second;
+    if (life < entry.life)
+        return nullptr;
+    if (life > entry.life)
+        entry = { .life = life };
+    entry.heardAt = now;
+    if (isNew && this->entries.size() > this->options.mostLives)
+        this->forgetOldest();
+    return &entry;
+}
+
+const NoticeBook::Entry* NoticeBook::find(std::string_view backendServer, std::uint64_t life) const
+{
+    const auto found = this->entries.find(backendServer);
+    return found != this->entries.end() && found->second.life == life ? &found->second : nullptr;
+}
+
+void NoticeBook::forgetOldest()
+{
+    const auto oldest = std::min_element(this->entries.begin(), this->entries.end(),
+        [](const auto& one, const auto& other) { return one.second.heardAt < other.second.heardAt; });
+    this->entries.erase(oldest);
+}
+
+bool NoticeBook::heardLeaving(const std::string& backendServer, std::uint64_t life, Milliseconds at)
+{
+    Entry* entry = this->entryOf(backendServer, life, at);
+    if (!entry || entry->isLeaving)
+        return false;
+    entry->isLeaving = true;
+    return true;
+}
+
+bool NoticeBook::isLeaving(std::string_view backendServer, std::uint64_t life) const
+{
+    const Entry* entry = this->find(backendServer, life);
+    return entry && entry->isLeaving;
+}
+
+}
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -11,8 +11,6 @@
 
 /** Where all are full, but no server was heard for so long and none has anything from here, one request tries. */
 constexpr Milliseconds SilentPool{ 300 };
-/** A server that said it was leaving is asked again so often whether it still is. */
-constexpr Milliseconds LeavingAskedAgain{ 2000 };
 /**
  * So long a server that said it is slow is taken at its word: a little less than
  * noisy neighbours keep it so, which is some 150 ms. Of what callers bring on a
@@ -71,6 +69,12 @@
     return anyEmptied;
 }
 
+bool ServicePool::areAllLeaving() const
+{
+    return !this->list.empty()
+        && std::all_of(this->list.begin(), this->list.end(), [](const auto& server) { return server->isLeaving(); });
+}
+
 bool ServicePool::remove(std::string_view id)
 {
     this->coldShare.forget(std::string(id));
@@ -131,7 +135,7 @@
 {
     auto takers = this->takers(wish, context.now);
     if (takers.empty())
-        return { .server = nullptr, .reason = NoChoice::NobodyTakes };
+        return { .server = nullptr, .reason = this->areAllLeaving() ? NoChoice::AllLeave : NoChoice::NobodyTakes };
     std::erase_if(takers,
         [&](const BackendServerState* server) { return !this->coldShare.allows(*server, random, context.now); });
     auto candidates = takers;
@@ -191,15 +195,6 @@
     });
 }
 
-std::shared_ptr<BackendServerState> ServicePool::leavingOfLongAgo(Milliseconds now) const
-{
-    const auto found = std::find_if(this->list.begin(), this->list.end(), [now](const auto& server) {
-        return server->isLeavingByItsWord() && now - server->leavingSignAt() > LeavingAskedAgain
-            && now - server->report().at > LeavingAskedAgain;
-    });
-    return found == this->list.end() ? nullptr : *found;
-}
-
 bool ServicePool::checkOutlier(BackendServerState& server, Milliseconds now)
 {
     return this->options.adaptive && this->outliers.check(server, this->list, now);
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -20,7 +20,8 @@
     Full, // some take requests, but none has room now
     Slow, // some have room, but said a moment ago that work takes too long there
     Unheard, // others may have room, but were not heard lately
-    NobodyTakes // none is there, or all are draining or leaving
+    AllLeave, // each that is there is draining or leaving: none will take a request any more
+    NobodyTakes // none is there, or those that are have been replaced or emptied
 };
 
 /** A chosen backend server, or why there is none. */
@@ -50,6 +51,8 @@
 
     /** Adds a life of a backend server, in place of an earlier one, or takes over its changed record. */
     std::shared_ptr<BackendServerState> put(const BackendServerRecord& record, Milliseconds now);
+    /** Servers are there, and each is draining or leaving. */
+    bool areAllLeaving() const;
     /** True when it was there. */
     bool remove(std::string_view id);
     void setConnectionShare(std::size_t share);
@@ -66,8 +69,6 @@
     /** Those whose load is worth knowing before a choice, the best by what is known first. */
     std::vector<std::shared_ptr<BackendServerState>> worthKnowing(
         std::size_t most, const RoutingContext& context, Random& random) const;
-    /** Only its own word keeps requests from it, and that is old: it may have stayed. Null when there is none. */
-    std::shared_ptr<BackendServerState> leavingOfLongAgo(Milliseconds now) const;
     /** An attempt at one of its backend servers has ended. */
     void learn(const EndedFlight& flight);
     const CrowdingEstimate& crowding() const { return this->crowdingEstimate; }
--- a/Source/Traffic/OwnTrafficDialect.cpp
+++ b/Source/Traffic/OwnTrafficDialect.cpp
@@ -84,6 +84,13 @@
     return told.empty() || told == requestId;
 }
 
+ServerNotice OwnTrafficDialect::readNotice(const HttpResponse& response, std::string_view) const
+{
+    if (resultOf(response) == AttemptResult::OtherServer)
+        return {};
+    return { .isLeaving = !valueOf(response, LeavingHeader).empty() };
+}
+
 AttemptEnd OwnTrafficDialect::readAnswer(const HttpResponse& response, std::string_view) const
 {
     AttemptEnd end;
@@ -92,8 +99,6 @@
     end.load = parseLoad(valueOf(response, LoadHeader));
     if (valueOf(response, LoadHeader).empty())
         end.load.reset();
-    if (!valueOf(response, LeavingHeader).empty())
-        end.leaving = true;
     end.isPromise = end.result == AttemptResult::ErrorAnswer && response.result() == http::status::service_unavailable;
     return end;
 }
@@ -105,8 +110,6 @@
     end.isAnswered = true;
     end.isOtherServer = answer.result == AttemptResult::OtherServer;
     end.load = answer.load;
-    // A probe is what takes a sign of leaving back.
-    end.leaving = answer.leaving.value_or(false);
     return end;
 }
 
--- a/Source/Traffic/OwnTrafficDialect.h
+++ b/Source/Traffic/OwnTrafficDialect.h
@@ -13,6 +13,7 @@
     void writeProbe(HttpRequest& request, const std::string& backendServer) const override;
     bool knowsAnswerField(std::string_view field) const override;
     bool isAnswerTo(const HttpResponse& response, std::string_view requestId) const override;
+    ServerNotice readNotice(const HttpResponse& response, std::string_view backendServer) const override;
     AttemptEnd readAnswer(const HttpResponse& response, std::string_view backendServer) const override;
     ProbeEnd readProbe(const HttpResponse& response, std::string_view backendServer) const override;
     void writeAnswer(HttpResponse& response) const override;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -171,8 +171,8 @@
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.isOwnAnswer = [dialect = this->parts.dialect, id = request.requestId](
                                const HttpResponse& response) { return dialect->isAnswerTo(response, id); };
-    exchange.headerRead
-        = [this, server = action.backendServer](const HttpResponse& header) { this->headerRead(server, header); };
+    exchange.headerRead = [this, server = action.backendServer, life = action.life](
+                              const HttpResponse& header) { this->headerRead(server, life, header); };
     const RequestNumber number = action.request;
     const AttemptNumber attempt = action.attempt;
     Attempt& started = request.attempts[attempt];
@@ -186,8 +186,13 @@
     started.exchange->start(std::move(kept));
 }
 
-void RequestDesk::headerRead(const std::string& backendServer, const HttpResponse& header)
+void RequestDesk::headerRead(const std::string& backendServer, std::uint64_t life, const HttpResponse& header)
 {
+    // Not with the end of the attempt: a retry is chosen there, the body may take long or break off, and an answer to
+    // another request has no end here.
+    const ServerNotice notice = this->parts.dialect->readNotice(header, backendServer);
+    if (!notice.isEmpty())
+        this->parts.sink->post(ServerNoticed{ .backendServer = backendServer, .life = life, .notice = notice });
     for (UnreadField& field : this->unreadFields.newOnes(header, *this->parts.dialect))
         this->parts.sink->post(UnreadFieldSeen{
             .backendServer = backendServer, .field = std::move(field.name), .value = std::move(field.value) });
@@ -302,8 +307,8 @@
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
-    options.headerRead
-        = [this, server = probe.backendServer](const HttpResponse& header) { this->headerRead(server, header); };
+    options.headerRead = [this, server = probe.backendServer, life = probe.life](
+                             const HttpResponse& header) { this->headerRead(server, life, header); };
     const bool wasKept = kept != nullptr;
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
         [this, probe, wasKept](HttpExchangeEnd end) { this->probeEnded(probe, wasKept, std::move(end)); });
--- a/Source/Traffic/TrafficDialect.h
+++ b/Source/Traffic/TrafficDialect.h
@@ -2,6 +2,7 @@
 
 #include "Http/HttpMessage.h"
 #include "Node/Actions.h"
+#include "Routing/ServerNotice.h"
 
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
     virtual bool knowsAnswerField(std::string_view field) const = 0;
     /** False when a backend server's answer belongs to another request. */
     virtual bool isAnswerTo(const HttpResponse& response, std::string_view requestId) const = 0;
+    /** What the server says of itself in the header of any answer; nothing when another server answered. */
+    virtual ServerNotice readNotice(const HttpResponse& response, std::string_view backendServer) const = 0;
     virtual AttemptEnd readAnswer(const HttpResponse& response, std::string_view backendServer) const = 0;
     virtual ProbeEnd readProbe(const HttpResponse& response, std::string_view backendServer) const = 0;
 
--- a/Tests/Platform/TrafficUnderTest.cpp
+++ b/Tests/Platform/LoopbackInstance.cpp
@@ -1,4 +1,4 @@
-#include "Tests/Platform/TrafficUnderTest.h"
+#include "Tests/Platform/LoopbackInstance.h"
 
 #include "Base/ChronoDuration.h"
 #include "KvFactTranslator.h"
@@ -48,7 +48,7 @@
     return this->text.substr(value, this->text.find("\r\n", value) - value);
 }
 
-TrafficUnderTest::TrafficUnderTest(asio::io_context& givenContext)
+LoopbackInstance::LoopbackInstance(asio::io_context& givenContext)
     : context(&givenContext)
     , node(nodeOptions())
     , port(freePort(givenContext))
@@ -59,7 +59,7 @@
     this->tell("op/config", Configuration, false);
 }
 
-void TrafficUnderTest::post(const Event& event)
+void LoopbackInstance::post(const Event& event)
 {
     Actions actions;
     this->node.handle(event, this->clock.now(), actions);
@@ -67,7 +67,7 @@
         std::visit([this](const auto& item) { this->execute(item); }, action);
 }
 
-void TrafficUnderTest::tell(const std::string& key, const std::string& value, bool isRemoved)
+void LoopbackInstance::tell(const std::string& key, const std::string& value, bool isRemoved)
 {
     peers::PeerMessage message;
     message.set_version(PeerProtocolVersion);
@@ -82,7 +82,7 @@
     this->post(PeerMessageArrived{ .message = message });
 }
 
-void TrafficUnderTest::putServer(const std::string& id, const NetworkAddress& address, std::uint64_t born)
+void LoopbackInstance::putServer(const std::string& id, const NetworkAddress& address, std::uint64_t born)
 {
     std::string record = R"({"address":")" + address.text() + R"(",)";
     if (born)
@@ -92,12 +92,12 @@
     this->tell("servers/" + id, record, false);
 }
 
-void TrafficUnderTest::removeServer(const std::string& id)
+void LoopbackInstance::removeServer(const std::string& id)
 {
     this->tell("servers/" + id, "", true);
 }
 
-void TrafficUnderTest::pass(Milliseconds span)
+void LoopbackInstance::pass(Milliseconds span)
 {
     const Milliseconds end = this->clock.now() + span;
     do {
@@ -108,13 +108,13 @@
     } while (this->clock.now() < end);
 }
 
-CallerAnswer TrafficUnderTest::call()
+CallerAnswer LoopbackInstance::call()
 {
     constexpr Milliseconds patience{ 2500 };
     return this->call(patience);
 }
 
-CallerAnswer TrafficUnderTest::call(Milliseconds patience)
+CallerAnswer LoopbackInstance::call(Milliseconds patience)
 {
     constexpr std::size_t statusAt = 9; // behind "HTTP/1.1 "
     asio::ip::tcp::socket socket(*this->context);
@@ -139,7 +139,7 @@
     return answer;
 }
 
-std::string TrafficUnderTest::stateOf(const std::string& id) const
+std::string LoopbackInstance::stateOf(const std::string& id) const
 {
     const v1::ShowLoadAnswer load = this->node.showLoad("s", this->clock.now());
     for (const v1::BackendServerLoad& server : load.backend_servers()) {
--- a/Tests/Platform/TrafficUnderTest.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -25,9 +25,9 @@
  * thread and real loopback connections. What the store holds is told by the
  * test, as another instance would.
  */
-class TrafficUnderTest final : public EventSink {
+class LoopbackInstance final : public EventSink {
 public:
-    explicit TrafficUnderTest(asio::io_context& context);
+    explicit LoopbackInstance(asio::io_context& context);
 
     void post(const Event& event) override;
 
--- a/Tests/Processes.sh
+++ b/Tests/Processes.sh
@@ -142,6 +142,12 @@
 load leaving --sessions 6 --requests 100
 check "leaving backend server gets nothing new" bash -c "! grep -q offers-3 '$fleet_dir/leaving.json'"
 backend_fault 3 none
+sleep 3
+load silent --sessions 6 --requests 100
+check "nor while it says nothing of it any more" bash -c "! grep -q offers-3 '$fleet_dir/silent.json'"
+ctl name-backend-server --service bookings --name offers-3 --ip 127.0.0.1 --port 18203 --data-centre dc-1 --slots 3 --life 2 > /dev/null
+load anew --sessions 6 --requests 100
+check "its new life is used" grep -q offers-3 "$fleet_dir/anew.json"
 
 load stop --sessions 9 --seconds 5 &
 loader=$!
--- /dev/null
+++ b/Tests/Routing/NoticeBookTest.cpp
@@ -0,0 +1,65 @@
+#include "Routing/NoticeBook.h"
+
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+/** Lives of one server that say one after the other that they leave, and of which it is then known. */
+struct Case {
+    const char* name;
+    std::vector<std::uint64_t> said;
+    std::uint64_t life;
+    bool isLeaving;
+};
+
+const std::vector<Case> Cases{
+    { "nothing was said", {}, 5, false },
+    { "this life said it", { 5 }, 5, true },
+    { "an earlier life said it", { 5 }, 9, false },
+    { "an earlier life said it too, late", { 9, 5 }, 9, true },
+    { "an earlier life is over", { 5, 9 }, 5, false },
+    { "lives that are not told apart", { 0 }, 0, true },
+};
+
+}
+
+TEST_GROUP(NoticeBook){};
+
+TEST(NoticeBook, KnowsOfEachLifeWhatItSaid)
+{
+    for (const Case& item : Cases) {
+        NoticeBook book({});
+        for (const std::uint64_t life : item.said)
+            book.heardLeaving("s1", life, { 10 });
+        CHECK_EQUAL_TEXT(item.isLeaving, book.isLeaving("s1", item.life), item.name);
+        CHECK_FALSE_TEXT(book.isLeaving("s2", item.life), item.name);
+    }
+}
+
+TEST(NoticeBook, IsNewsOnce)
+{
+    NoticeBook book({});
+    CHECK(book.heardLeaving("s1", 5, { 10 }));
+    CHECK_FALSE(book.heardLeaving("s1", 5, { 20 }));
+    CHECK_FALSE(book.heardLeaving("s1", 4, { 30 }));
+    CHECK(book.heardLeaving("s1", 6, { 40 }));
+}
+
+TEST(NoticeBook, ForgetsWhatWasHeardLongestAgoWhenItIsFull)
+{
+    NoticeBook book({ .mostLives = 100 });
+    for (int server = 0; server < 100; ++server)
+        book.heardLeaving("s" + std::to_string(server), 1, { static_cast<double>(server) });
+    book.heardLeaving("s0", 1, { 200 });
+    book.heardLeaving("last", 1, { 300 });
+    CHECK(book.isLeaving("s0", 1));
+    CHECK_FALSE(book.isLeaving("s1", 1));
+    CHECK(book.isLeaving("s2", 1));
+    CHECK(book.isLeaving("last", 1));
+}
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -59,6 +59,9 @@
           { this->options.build + "/StandIns/StoreStandIn", "--port", std::to_string(this->port(Part::Store)) }))
     , instances(givenOptions.instances)
     , backendServers(givenOptions.servers)
+    , newLives([this](std::size_t server, std::uint64_t life, unsigned tries) {
+        return this->startNamingLife(server, life, tries);
+    })
 {
     for (std::size_t index = 0; index < this->backendServers.size(); ++index)
         this->addServer(index);
@@ -194,13 +197,31 @@
     return areNamed;
 }
 
-bool SoakFleet::nameServer(const std::string& service, const std::string& name, std::uint16_t serverPort) const
+std::vector<std::string> SoakFleet::namingWords(
+    const std::string& service, const std::string& name, std::uint16_t serverPort)
 {
     const std::string dataCentre = "dc-" + std::to_string(serverPort % DataCentres);
-    return this->control(0,
-        { "name-backend-server", "--service", service, "--name", name, "--ip", "127.0.0.1", "--port",
-            std::to_string(serverPort), "--data-centre", dataCentre, "--slots", "3" },
-        "changes");
+    return { "name-backend-server", "--service", service, "--name", name, "--ip", "127.0.0.1", "--port",
+        std::to_string(serverPort), "--data-centre", dataCentre, "--slots", "3" };
+}
+
+bool SoakFleet::nameServer(const std::string& service, const std::string& name, std::uint16_t serverPort) const
+{
+    return this->control(0, namingWords(service, name, serverPort), "changes");
+}
+
+std::unique_ptr<ChildProcess> SoakFleet::startNamingLife(std::size_t server, std::uint64_t life, unsigned tries) const
+{
+    std::vector<std::string> command{ this->options.build + "/burlreach", "ctl", "--address",
+        local(this->port(Part::Operators, tries % this->instances.size())) };
+    const auto words
+        = namingWords("bookings", "offers-" + std::to_string(server), this->port(Part::ServerProxy, server));
+    command.insert(command.end(), words.begin(), words.end());
+    command.insert(command.end(), { "--life", std::to_string(life) });
+    auto call = this->program("changes", std::move(command));
+    call->start();
+    call->expectEnd();
+    return call;
 }
 
 void SoakFleet::resumeSuspended(std::size_t index)
@@ -261,6 +282,7 @@
 {
     if (this->crashingLoad)
         this->crashingLoad->tend();
+    this->newLives.tend();
     for (Instance& instance : this->instances) {
         if (!instance.isStopping || instance.process->isRunning())
             continue;
@@ -275,6 +297,8 @@
         this->change->wait();
     return waitFor(patience, [this] {
         this->tend();
+        if (!this->newLives.areAllNamed())
+            return false;
         for (std::size_t index = 0; index < this->instances.size(); ++index) {
             if (!this->isReady(index) || this->revisionOf(index) < this->latestAccepted())
                 return false;
@@ -391,9 +415,11 @@
         return;
     case SoakFault::PauseServer:
         return server.process->signal(SIGCONT);
+    case SoakFault::LeavingServer:
+        setFault(this->port(Part::Server, serverIndex), "none");
+        return this->newLives.began(serverIndex);
     case SoakFault::ServerSheds:
     case SoakFault::ServerCutsAnswers:
-    case SoakFault::LeavingServer:
         return setFault(this->port(Part::Server, serverIndex), "none");
     case SoakFault::SilenceServer:
     case SoakFault::SilenceServerBack:
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -3,6 +3,7 @@
 #include "Tests/Soak/ChildProcess.h"
 #include "Tests/Soak/CrashingLoad.h"
 #include "Tests/Soak/LoopbackProxy.h"
+#include "Tests/Soak/NewLives.h"
 #include "Tests/Soak/SoakPlan.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -95,6 +96,9 @@
     bool control(std::size_t instance, std::vector<std::string> words, const std::string& log) const;
     bool configure() const;
     bool nameServer(const std::string& service, const std::string& name, std::uint16_t serverPort) const;
+    static std::vector<std::string> namingWords(
+        const std::string& service, const std::string& name, std::uint16_t serverPort);
+    std::unique_ptr<ChildProcess> startNamingLife(std::size_t server, std::uint64_t life, unsigned tries) const;
     void resumeSuspended(std::size_t index);
     std::string clockPath(std::size_t index) const { return this->pathOf("clock-" + std::to_string(index)); }
     void changeConfiguration(std::size_t instance);
@@ -111,6 +115,7 @@
     std::vector<Instance> instances;
     std::vector<Server> backendServers;
     std::unique_ptr<ChildProcess> change; // under way
+    NewLives newLives;
     std::unique_ptr<CrashingLoad> crashingLoad;
 };
 
--- a/Tests/Virtual/VirtualBackendServer.cpp
+++ b/Tests/Virtual/VirtualBackendServer.cpp
@@ -50,8 +50,7 @@
         || result == AttemptResult::RefusedNotRun;
     if (isAnswer) {
         word.end.load = this->figures();
-        if (this->leaving)
-            word.end.leaving = true;
+        word.notice = this->notice();
         word.end.status = result == AttemptResult::Answered ? StatusOk : StatusFailed;
     }
     job.done(word);
--- a/Tests/Virtual/VirtualBackendServer.h
+++ b/Tests/Virtual/VirtualBackendServer.h
@@ -2,6 +2,7 @@
 
 #include "Base/Random.h"
 #include "Routing/AttemptResult.h"
+#include "Routing/ServerNotice.h"
 #include "Tests/Virtual/VirtualTime.h"
 
 #include <cstddef>
@@ -31,6 +32,7 @@
 struct ServerWord {
     AttemptEnd end;
     std::string requestId;
+    ServerNotice notice;
 };
 
 /**
@@ -68,6 +70,8 @@
     void cancel(std::uint64_t attempt);
     /** Nothing when it does not answer probes. */
     std::optional<LoadFigures> probed() const;
+    /** What it says of itself in each answer. */
+    ServerNotice notice() const { return { .isLeaving = this->leaving }; }
 
     void setFault(ServerFault fault);
     /** Tells figures of an idle server, whatever is there. */
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -372,6 +372,8 @@
 {
     this->answers[{ instance, action.attempt }] = word.requestId;
     this->answerResults[attemptAt(instance, action.attempt)] = word.end.result;
+    this->tellNotice(
+        instance, life, { .backendServer = action.backendServer, .life = action.life, .notice = word.notice });
     this->deliver(instance, life,
         AttemptEnded{ .request = action.request,
             .attempt = action.attempt,
@@ -379,6 +381,12 @@
             .end = word.end });
 }
 
+void VirtualFleet::tellNotice(std::size_t instance, std::uint64_t life, const ServerNoticed& noticed)
+{
+    if (!noticed.notice.isEmpty())
+        this->deliver(instance, life, noticed);
+}
+
 void VirtualFleet::execute(std::size_t instance, const CancelAttempt& action)
 {
     for (const auto& [id, server] : this->servers) {
@@ -415,7 +423,11 @@
     end.isOtherServer = server && server->fault() == ServerFault::Replaced;
     end.load = figures;
     const Milliseconds took = end.isAnswered ? this->options.toServer * 2 : action.probe.timeout;
-    this->time.after(took, [this, instance, life, number = action.probe.number, end] {
+    const ServerNoticed noticed{ .backendServer = action.probe.backendServer,
+        .life = action.probe.life,
+        .notice = figures ? server->notice() : ServerNotice{} };
+    this->time.after(took, [this, instance, life, number = action.probe.number, end, noticed] {
+        this->tellNotice(instance, life, noticed);
         this->deliver(instance, life, ProbeEnded{ .probe = number, .end = end });
     });
 }
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -158,6 +158,7 @@
     /** Delivers it when all of it has come through the receiver's link. */
     void receive(std::size_t instance, std::uint64_t life, std::size_t bytes, const Event& event);
     void attemptEnded(std::size_t instance, std::uint64_t life, const SendAttempt& action, const ServerWord& word);
+    void tellNotice(std::size_t instance, std::uint64_t life, const ServerNoticed& noticed);
     void endCaller(std::uint64_t number, CallerOutcome outcome);
     VirtualBackendServer* serverAt(const NetworkAddress& address);
 
