--- a/Tests/Platform/AskedPausesTest.cpp
+++ b/Tests/Platform/AskedPausesTest.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-/** A request that cannot be served is refused within this: it has not waited for anything. */
-constexpr Milliseconds AtOnce{ 40 };
+/** A request that cannot be served is refused within this: one that waits does so for 330 ms, 0.22 of the target. */
+constexpr Milliseconds AtOnce{ 150 };
 
 /** By its figures the better choice. */
 std::string freeAnswer(const ScriptedRequest& request)
@@ -55,19 +55,19 @@
 };
 
 const std::vector<Case> Cases{
-    { "a fraction of a second", retryAfter("0.4"), { 250 }, true },
+    { "seconds with a fraction", retryAfter("2.5"), { 250 }, true },
     { "a fraction of a second, over", retryAfter("0.2"), { 700 }, false },
-    { "whole seconds", retryAfter("1"), { 700 }, true },
+    { "whole seconds", retryAfter("3"), { 250 }, true },
     { "whole seconds, over", retryAfter("1"), { 1700 }, false },
-    { "blanks around it", retryAfter("  0.4 "), { 250 }, true },
+    { "blanks around it", retryAfter("  2.5 "), { 250 }, true },
     { "nothing", retryAfter("0"), { 20 }, false },
-    { "a huge number", retryAfter("999999999999999999999999999999"), { 400 }, true },
-    { "a number beyond all bounds", retryAfter(std::string(400, '9')), { 400 }, true },
-    { "a date to come", retryAfter("Fri, 01 Jan 2100 00:00:00 GMT"), { 400 }, true },
-    { "a date to come, in an old form", retryAfter("Friday, 01-Jan-38 00:00:00 GMT"), { 400 }, true },
+    { "a huge number", retryAfter("999999999999999999999999999999"), { 250 }, true },
+    { "a number beyond all bounds", retryAfter(std::string(400, '9')), { 250 }, true },
+    { "a date to come", retryAfter("Fri, 01 Jan 2100 00:00:00 GMT"), { 250 }, true },
+    { "a date to come, in an old form", retryAfter("Friday, 01-Jan-38 00:00:00 GMT"), { 250 }, true },
     { "a date that has passed", retryAfter("Sun, 06 Nov 1994 08:49:37 GMT"), { 20 }, false },
     { "a date by the server's own clock",
-        "Date: Sun, 06 Nov 1994 08:49:37 GMT\r\n" + retryAfter("Sun, 06 Nov 1994 08:50:37 GMT"), { 400 }, true },
+        "Date: Sun, 06 Nov 1994 08:49:37 GMT\r\n" + retryAfter("Sun, 06 Nov 1994 08:50:37 GMT"), { 250 }, true },
     { "rubbish", retryAfter("soon"), { 20 }, false },
     { "less than nothing", retryAfter("-5"), { 20 }, false },
     { "a number and more", retryAfter("5 apples"), { 20 }, false },
@@ -144,7 +144,7 @@
 
 TEST(AskedPauses, ThatEndSoonAreWaitedFor)
 {
-    // Within the share of the target latency, 300 ms, that a request may wait.
+    // Within the share of the target latency, 1.5 s, that a request may wait.
     this->turnAway(retryAfter("0.02"));
     LONGS_EQUAL(200, this->instance->call().status);
 }
--- a/Tests/Platform/LoopbackInstance.cpp
+++ b/Tests/Platform/LoopbackInstance.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr const char* Configuration = R"({"version":"00000001",
-    "routes":{"r":{"host":"x.example","path_prefix":"/a/","type":"safe","timeout":"2000ms","target_latency":"300ms",
+    "routes":{"r":{"host":"x.example","path_prefix":"/a/","type":"safe","timeout":"4000ms","target_latency":"1500ms",
         "priority":0,"service":"s","max_attempts":3}},
     "services":{"s":{"health_check_path":"/health","max_connections":100}}})";
 constexpr Milliseconds Step{ 1 };
--- a/Tests/Platform/ServerWordsTest.cpp
+++ b/Tests/Platform/ServerWordsTest.cpp
@@ -26,8 +26,8 @@
 /** The better choice by its figures, so that only its word keeps requests away. */
 constexpr const char* Leaving = "Server-Leaving: 1\r\nInstance-Load: 0,0,3,100\r\n";
 constexpr const char* Refused = "Not-Executed: 1\r\n";
-/** A request that cannot be served is refused within this: it has not waited for anything. */
-constexpr Milliseconds AtOnce{ 40 };
+/** A request that cannot be served is refused within this: one that waits does so for 330 ms, 0.22 of the target. */
+constexpr Milliseconds AtOnce{ 150 };
 
 std::string plainAnswer(const ScriptedRequest& request)
 {
