Soak: servers that say they leave or ask for a pause; they count what comes against it

Seeds from 2000 on, beside troubles that begin no instance anew. Callers name the instance that they ask in a field that is forwarded, so the stand-in knows to whom it has said what: half a second later a request from there goes against its word of leaving, and the third against a pause. Seeds below keep their plans.

--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -102,6 +102,8 @@
     checker.checkAllAnswered(afterwards);
     if (isPlannedOnly(seed))
         checker.checkNothingCut(told);
+    if (hasServerWords(seed))
+        checker.checkWords();
     if (fleet.crashes()) {
         neighbours->wait();
         checker.checkNeighbours(SoakChecker::read(fleet.pathOf("neighbours.json")));
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -10,6 +10,7 @@
 constexpr const char* Answered = "answered";
 constexpr const char* Foreign = "not its own or not whole";
 constexpr const char* Cut = "cut: ";
+constexpr std::string_view AgainstWord = "against ";
 
 }
 
@@ -17,8 +18,13 @@
 {
     for (std::size_t server = 0; server < fleet.servers(); ++server) {
         std::ifstream journal(fleet.journalPath(server));
-        for (std::string id; std::getline(journal, id);)
-            ++this->runs[id];
+        for (std::string line; std::getline(journal, line);) {
+            if (line.starts_with(AgainstWord))
+                ++this->againstWords[line.substr(
+                    AgainstWord.size(), line.find(' ', AgainstWord.size()) - AgainstWord.size())];
+            else
+                ++this->runs[line];
+        }
     }
 }
 
@@ -57,6 +63,12 @@
     }
 }
 
+void SoakChecker::checkWords()
+{
+    for (const auto& [word, count] : this->againstWords)
+        this->note(std::to_string(count) + " requests came against a server's word: " + word);
+}
+
 void SoakChecker::checkNeighbours(const CallersResult& told)
 {
     if (!told.outcomes.contains(Answered))
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -32,11 +32,14 @@
     void checkAllAnswered(const CallersResult& told);
     /** Callers of servers that another one's request crashed: they are not taken for the cause, and some are served. */
     void checkNeighbours(const CallersResult& told);
+    /** Servers that said they leave or asked for a pause were left alone by whoever they told. */
+    void checkWords();
     void note(const std::string& broken) { this->broken.push_back(broken); }
     const std::vector<std::string>& findings() const { return this->broken; }
 
 private:
     std::map<std::string, int> runs; // by request id
+    std::map<std::string, int> againstWords; // requests that came against a server's word, by word
     std::vector<std::string> broken;
 };
 
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -372,6 +372,8 @@
         return setFault(serverPort, "cut");
     case SoakFault::LeavingServer:
         return setFault(serverPort, "leaving");
+    case SoakFault::ServerAsksPause:
+        return setFault(serverPort, "ask-pause");
     case SoakFault::SilenceServer:
         return server.proxy->setFault(ProxyFault::Silent);
     case SoakFault::SilenceServerBack:
@@ -420,6 +422,7 @@
         return this->newLives.began(serverIndex);
     case SoakFault::ServerSheds:
     case SoakFault::ServerCutsAnswers:
+    case SoakFault::ServerAsksPause:
         return setFault(this->port(Part::Server, serverIndex), "none");
     case SoakFault::SilenceServer:
     case SoakFault::SilenceServerBack:
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -14,10 +14,16 @@
     "reload-instance", "reset-callers", "cut-store", "cut-store-one-way", "refuse-store", "store-down", "store-slow",
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
     "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
-    "suspend-instance" };
+    "suspend-instance", "server-asks-pause" };
 /** Drawn by all seeds below the first one with crashes, whose plans stay as they are. */
 constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
 constexpr std::uint64_t FirstSeedWithCrashes = 1000;
+constexpr std::uint64_t FirstSeedWithWords = 2000;
+/** Whoever begins anew or stands still may have heard nothing. */
+constexpr std::array<SoakFault, 14> BesideWords{ SoakFault::LeavingServer, SoakFault::LeavingServer,
+    SoakFault::ServerAsksPause, SoakFault::ServerAsksPause, SoakFault::ServerAsksPause, SoakFault::CutStore,
+    SoakFault::StoreDown, SoakFault::StoreLosesAnswers, SoakFault::StoreForgets, SoakFault::ServerCutsAnswers,
+    SoakFault::ResetServer, SoakFault::ResetCallers, SoakFault::ReloadInstance, SoakFault::ChangeConfiguration };
 constexpr std::array<SoakFault, 8> BesideCrashes{ SoakFault::SuspendInstance, SoakFault::SuspendInstance,
     SoakFault::KillServer, SoakFault::PauseServer, SoakFault::ServerSheds, SoakFault::ServerCutsAnswers,
     SoakFault::ReloadInstance, SoakFault::ChangeConfiguration };
@@ -35,6 +41,8 @@
 
 SoakFault drawFault(std::uint64_t seed, Random& random)
 {
+    if (hasServerWords(seed))
+        return BesideWords[random.below(BesideWords.size())];
     if (hasCrashingRequest(seed))
         return BesideCrashes[random.below(BesideCrashes.size())];
     return isPlannedOnly(seed) ? Planned[random.below(Planned.size())]
@@ -50,12 +58,17 @@
 
 bool isPlannedOnly(std::uint64_t seed)
 {
-    return !hasCrashingRequest(seed) && seed % PlannedOnlyEach == 0;
+    return seed < FirstSeedWithCrashes && seed % PlannedOnlyEach == 0;
 }
 
 bool hasCrashingRequest(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithCrashes;
+    return seed >= FirstSeedWithCrashes && !hasServerWords(seed);
+}
+
+bool hasServerWords(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithWords;
 }
 
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -34,6 +34,7 @@
     ChangeConfiguration,
     LeavingServer, // it says so in its answers
     SuspendInstance, // its clock has gone on meanwhile, its timers have not
+    ServerAsksPause, // it turns requests away and says for how long it wants none
     Count
 };
 
@@ -60,6 +61,9 @@
 /** True for a run with a request that crashes servers, and with troubles that leave the others in touch. */
 bool hasCrashingRequest(std::uint64_t seed);
 
+/** True for a run with servers that speak of themselves, in which no instance is stopped, killed or stands still. */
+bool hasServerWords(std::uint64_t seed);
+
 /** The steps of a seed in the order of their times; they overlap and come in series. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -1,6 +1,8 @@
 // Stand-in for a backend server: three slots, a short queue, shedding, load
 // reports, a run journal, and a control port for faults.
 
+#include "Tests/StandIns/SpokenWords.h"
+
 #include <CLI/CLI.hpp>
 #include <chrono>
 #include <condition_variable>
@@ -20,6 +22,8 @@
 constexpr std::size_t ThreadCount = 300;
 constexpr std::size_t EndlessKeepAlive = 1000000000;
 constexpr const char* RequestIdHeader = "Burlreach-Request-Id";
+/** Asked for where the fault says so: longer than what is on its way, and a request does not wait for it. */
+constexpr double PauseSeconds = 1.5;
 
 struct Options {
     std::string name;
@@ -104,7 +108,17 @@
             response.status = StatusMisdirected;
             return;
         }
-        if (!this->enter()) {
+        const std::string instance = request.get_header_value("Entry");
+        const std::string word = this->words.against(instance);
+        if (!word.empty())
+            this->note(("against " + word).c_str(), instance);
+        if (this->isFault("leaving"))
+            this->words.saidLeaving(instance);
+        if (this->isFault("ask-pause")) {
+            this->words.askedPause(instance, PauseSeconds);
+            response.set_header("Retry-After", std::to_string(PauseSeconds));
+        }
+        if (this->isFault("ask-pause") || !this->enter()) {
             response.status = StatusUnavailable;
             response.set_header("Burlreach-Not-Run", "1");
             this->addLoad(response);
@@ -165,6 +179,9 @@
     void setFault(const std::string& name)
     {
         const std::lock_guard lock(this->mutex);
+        // Whoever ends that word takes it for a new life, and names it.
+        if (this->fault == "leaving")
+            this->words.forget();
         this->fault = name == "none" ? "" : name;
         this->changed.notify_all();
     }
@@ -176,6 +193,7 @@
     int running = 0;
     int waiting = 0;
     std::string fault;
+    burlreach::SpokenWords words;
     std::map<std::string, int> journal;
     std::ofstream journalFile;
 };
--- a/Tests/StandIns/CallerStandIn.cc
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -152,13 +152,14 @@
         return client;
     }
 
-    httplib::Result send(httplib::Client& client, const std::string& id, bool isBooking) const
+    httplib::Result send(const Session& session, const std::string& id, bool isBooking) const
     {
-        httplib::Headers headers{ { "Host", this->options.host }, { "Echo", id } };
+        httplib::Headers headers{ { "Host", this->options.host }, { "Echo", id },
+            { "Entry", std::to_string(this->portOf(session.turn)) } };
         if (!isBooking)
-            return client.Get("/search?from=a&to=b", headers);
+            return session.client->Get("/search?from=a&to=b", headers);
         headers.emplace("Burlreach-Request-Id", id);
-        return client.Post("/bookings", headers, std::string(200, 'x'), "application/json");
+        return session.client->Post("/bookings", headers, std::string(200, 'x'), "application/json");
     }
 
     static double millisecondsSince(Clock::time_point start)
@@ -170,14 +171,14 @@
     {
         auto start = Clock::now();
         const bool wasOpen = session.client->is_socket_open();
-        auto result = this->send(*session.client, id, isBooking);
+        auto result = this->send(session, id, isBooking);
         // Connecting to a balancer that has gone is no failure of a request.
         for (std::size_t tries = 0;
              !result && result.error() == httplib::Error::Connection && tries < this->options.ports.size(); ++tries) {
             session.client = this->connect(++session.turn);
             session.answers = 0;
             start = Clock::now();
-            result = this->send(*session.client, id, isBooking);
+            result = this->send(session, id, isBooking);
             const std::lock_guard lock(this->mutex);
             ++this->tally.reconnects;
         }
--- /dev/null
+++ b/Tests/StandIns/SpokenWords.cpp
@@ -0,0 +1,51 @@
+#include "Tests/StandIns/SpokenWords.h"
+
+namespace burlreach {
+
+namespace {
+
+/** What was sent before the word was heard has come by then, also through a proxy that delays. */
+constexpr std::chrono::milliseconds OnItsWay{ 500 };
+/** More of them than this go against a pause. */
+constexpr int MostDuringPause = 2;
+
+}
+
+void SpokenWords::saidLeaving(const std::string& instance)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!instance.empty())
+        this->leaving.emplace(instance, Clock::now());
+}
+
+void SpokenWords::askedPause(const std::string& instance, double seconds)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = Clock::now();
+    const auto until = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+    const auto found = this->pauses.find(instance);
+    // A later one on top of the first would excuse what came against that.
+    if (!instance.empty() && (found == this->pauses.end() || found->second.until < now))
+        this->pauses[instance] = { .from = now + OnItsWay, .until = until };
+}
+
+std::string SpokenWords::against(const std::string& instance)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = Clock::now();
+    const auto said = this->leaving.find(instance);
+    if (said != this->leaving.end() && now > said->second + OnItsWay)
+        return "leaving";
+    const auto pause = this->pauses.find(instance);
+    const bool isMeanwhile = pause != this->pauses.end() && now > pause->second.from && now < pause->second.until;
+    return isMeanwhile && ++pause->second.requests > MostDuringPause ? "pause" : "";
+}
+
+void SpokenWords::forget()
+{
+    const std::lock_guard lock(this->mutex);
+    this->leaving.clear();
+    this->pauses.clear();
+}
+
+}
