Soak: servers say nothing that counts between two lives

Traced: the server asked for the pause 36 ms before the soak named its next life, which inherits none, as it should; the stand-in went on counting for the life before. So the check was wrong there and nowhere else: now the stand-in forgets when a life begins and notes nothing until the name is in force (accepted and a second more), also when a life begins while another one waits to be named.

--- a/Tests/Soak/NewLives.cpp
+++ b/Tests/Soak/NewLives.cpp
@@ -1,11 +1,19 @@
 #include "Tests/Soak/NewLives.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burlreach {
 
-NewLives::NewLives(StartCall givenStartCall)
-    : startCall(std::move(givenStartCall))
+namespace {
+
+/** After which an accepted change is in force wherever the store or the others are heard. */
+constexpr std::chrono::milliseconds InForceEverywhere{ 1000 };
+
+}
+
+NewLives::NewLives(Options givenOptions)
+    : options(std::move(givenOptions))
 {
 }
 
@@ -14,11 +22,20 @@
     if (this->call && this->call->isRunning())
         return;
     if (this->call && !this->call->hasFailed())
-        this->waiting.pop_front();
+        this->acceptedAt = Clock::now();
     this->call.reset();
-    if (this->waiting.empty())
-        return;
-    this->call = this->startCall(this->waiting.front(), ++this->lastLife, this->tries++);
+    if (this->acceptedAt) {
+        if (Clock::now() < *this->acceptedAt + InForceEverywhere)
+            return;
+        this->acceptedAt.reset();
+        const std::size_t server = this->waiting.front();
+        this->waiting.pop_front();
+        // It may have begun anew once more meanwhile.
+        if (std::find(this->waiting.begin(), this->waiting.end(), server) == this->waiting.end())
+            this->options.known(server);
+    }
+    if (!this->waiting.empty())
+        this->call = this->options.startCall(this->waiting.front(), ++this->lastLife, this->tries++);
 }
 
 }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -59,9 +59,9 @@
           { this->options.build + "/StandIns/StoreStandIn", "--port", std::to_string(this->port(Part::Store)) }))
     , instances(givenOptions.instances)
     , backendServers(givenOptions.servers)
-    , newLives([this](std::size_t server, std::uint64_t life, unsigned tries) {
-        return this->startNamingLife(server, life, tries);
-    })
+    , newLives({ .startCall = [this](std::size_t server, std::uint64_t life,
+                                  unsigned tries) { return this->startNamingLife(server, life, tries); },
+          .known = [this](std::size_t server) { tellStandIn(this->port(Part::Server, server), "new-life-known"); } })
 {
     for (std::size_t index = 0; index < this->backendServers.size(); ++index)
         this->addServer(index);
@@ -297,7 +297,7 @@
         this->change->wait();
     return waitFor(patience, [this] {
         this->tend();
-        if (!this->newLives.areAllNamed())
+        if (!this->newLives.areAllKnown())
             return false;
         for (std::size_t index = 0; index < this->instances.size(); ++index) {
             if (!this->isReady(index) || this->revisionOf(index) < this->latestAccepted())
@@ -307,12 +307,17 @@
     });
 }
 
-void SoakFleet::setFault(std::uint16_t port, const std::string& name)
+void SoakFleet::tellStandIn(std::uint16_t port, const std::string& what)
 {
     httplib::Client client("127.0.0.1", port);
     client.set_connection_timeout(CallSeconds);
     client.set_read_timeout(CallSeconds);
-    client.Put("/control/fault/" + name, "", "text/plain");
+    client.Put("/control/" + what, "", "text/plain");
+}
+
+void SoakFleet::setFault(std::uint16_t port, const std::string& name)
+{
+    tellStandIn(port, "fault/" + name);
 }
 
 void SoakFleet::changeConfiguration(std::size_t instance)
@@ -419,6 +424,7 @@
         return server.process->signal(SIGCONT);
     case SoakFault::LeavingServer:
         setFault(this->port(Part::Server, serverIndex), "none");
+        tellStandIn(this->port(Part::Server, serverIndex), "new-life");
         return this->newLives.began(serverIndex);
     case SoakFault::ServerSheds:
     case SoakFault::ServerCutsAnswers:
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -105,6 +105,8 @@
     bool isReady(std::size_t instance) const;
     std::uint64_t latestAccepted() const;
     std::uint64_t revisionOf(std::size_t instance) const;
+    /** Tells a stand-in something at its control address. */
+    static void tellStandIn(std::uint16_t port, const std::string& what);
     static void setFault(std::uint16_t port, const std::string& name);
 
     Options options;
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -49,6 +49,8 @@
         this->server.Get("/control/journal", [this](const auto&, auto& response) { this->showJournal(response); });
         this->server.Put(
             R"(/control/fault/(.+))", [this](const auto& request, auto&) { this->setFault(request.matches[1]); });
+        this->server.Put("/control/new-life", [this](const auto&, auto&) { this->words.beginNewLife(); });
+        this->server.Put("/control/new-life-known", [this](const auto&, auto&) { this->words.newLifeIsKnown(); });
         this->server.Get(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
         this->server.Post(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
         this->server.Put(".*", [this](const auto& request, auto& response) { this->serve(request, response); });
@@ -179,9 +181,6 @@
     void setFault(const std::string& name)
     {
         const std::lock_guard lock(this->mutex);
-        // Whoever ends that word takes it for a new life, and names it.
-        if (this->fault == "leaving")
-            this->words.forget();
         this->fault = name == "none" ? "" : name;
         this->changed.notify_all();
     }
--- a/Tests/StandIns/SpokenWords.cpp
+++ b/Tests/StandIns/SpokenWords.cpp
@@ -14,7 +14,7 @@
 void SpokenWords::saidLeaving(const std::string& instance)
 {
     const std::lock_guard lock(this->mutex);
-    if (!instance.empty())
+    if (!instance.empty() && !this->isBetweenLives)
         this->leaving.emplace(instance, Clock::now());
 }
 
@@ -25,7 +25,8 @@
     const auto until = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
     const auto found = this->pauses.find(instance);
     // A later one on top of the first would excuse what came against that.
-    if (!instance.empty() && (found == this->pauses.end() || found->second.until < now))
+    const bool isNoted = !instance.empty() && !this->isBetweenLives;
+    if (isNoted && (found == this->pauses.end() || found->second.until < now))
         this->pauses[instance] = { .from = now + OnItsWay, .until = until };
 }
 
@@ -41,11 +42,18 @@
     return isMeanwhile && ++pause->second.requests > MostDuringPause ? "pause" : "";
 }
 
-void SpokenWords::forget()
+void SpokenWords::beginNewLife()
 {
     const std::lock_guard lock(this->mutex);
+    this->isBetweenLives = true;
     this->leaving.clear();
     this->pauses.clear();
 }
 
+void SpokenWords::newLifeIsKnown()
+{
+    const std::lock_guard lock(this->mutex);
+    this->isBetweenLives = false;
+}
+
 }
--- a/Tests/StandIns/SpokenWords.h
+++ b/Tests/StandIns/SpokenWords.h
@@ -22,8 +22,12 @@
     void askedPause(const std::string& instance, double seconds);
     /** A request came from there: the word that it goes against; empty: none. */
     std::string against(const std::string& instance);
-    /** A new life begins, which has said nothing. */
-    void forget();
+    /**
+     * A new life begins, which has said nothing: all is forgotten, and nothing is noted until its name is in force at
+     * all instances, since what is said meanwhile may be taken for the word of either life.
+     */
+    void beginNewLife();
+    void newLifeIsKnown();
 
 private:
     struct Pause {
@@ -33,6 +37,7 @@
     };
 
     std::mutex mutex;
+    bool isBetweenLives = false;
     std::map<std::string, Clock::time_point> leaving; // since when, by instance
     std::map<std::string, Pause> pauses;
 };
