--- a/Tests/Node/LeavingServersTest.cpp
+++ b/Tests/Node/LeavingServersTest.cpp
@@ -167,6 +167,7 @@
         fleet.server(id).setLeaving(true);
     constexpr int burst = 60;
     std::vector<std::uint64_t> callers;
+    callers.reserve(burst);
     for (int request = 0; request < burst; ++request)
         callers.push_back(fleet.send(0, VirtualRequest{}));
     fleet.run({ 80 });
--- a/Tests/Platform/AskedPausesTest.cpp
+++ b/Tests/Platform/AskedPausesTest.cpp
@@ -110,7 +110,7 @@
         this->instance->call();
     }
 
-    void addOther()
+    void addOther() const
     {
         this->instance->putServer("i-b", this->other->address());
     }
--- a/Tests/Platform/ServerWordsTest.cpp
+++ b/Tests/Platform/ServerWordsTest.cpp
@@ -111,7 +111,7 @@
         this->instance->putServer("i-a", this->wordy->address());
     }
 
-    void addPlain()
+    void addPlain() const
     {
         this->instance->putServer("i-b", this->plain->address());
     }
