Keep the weights of a route that was led to one part alone for a while

Callers saw: for seven seconds after a route was divided 3 to 1 again, 85 of 100 of its requests went to the smaller part. Cause: an instance kept the route's turns while it led to one service only and went on counting each request that was sent; when the same weights came back, the smaller part was owed six to ten requests an instance, and the larger one got none until then. Found from the order of the parts at each instance: ppppppN, no refusal by the larger part before. Ruled out: attempts counted instead of requests, requests refused while they waited, too few requests an instance. Second fault, found by the same test: turns began at a drawn part, but the second and third request of an instance were the same part's everywhere; 850 requests over 984 instances gave 0.82 for a weight of 0.75. Turns now begin anywhere in their order.

Change: turns go with the division they belong to; WeightedTurn begins at a drawn place of its period; the division in force is logged.

--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -448,6 +448,7 @@
     this->decisionCounters.add(DecisionCount::ConfigurationsAdopted);
     if (isFirst || before != next.callerLimits)
         actions.emplace_back(SetCallerLimits{ .limits = next.callerLimits });
+    this->noteSplits(actions);
     actions.emplace_back(beliefOf("configuration_in_force", item.key)
                              .with("version", next.version)
                              .with("revision", item.revision)
@@ -458,6 +459,19 @@
                              .with("confirmed_age", (now - this->store.confirmedAt()).count));
 }
 
+void Node::noteSplits(Actions& actions)
+{
+    std::size_t lines = 0;
+    for (const Route& route : this->services.current().routes) {
+        if (route.services.size() < 2 || ++lines > MostLinesAtOnce)
+            continue;
+        std::string weights;
+        for (const WeightedService& part : route.services)
+            weights += (weights.empty() ? "" : " ") + part.service + ":" + std::to_string(part.weight);
+        actions.emplace_back(beliefOf("route_divided", route.name).with("weights", weights));
+    }
+}
+
 void Node::adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions)
 {
     for (const DataCentreOrder& order : this->services.setDataCentres(item.facts, now)) {
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -114,6 +114,7 @@
     /** Brings what an item says into force. */
     void adopt(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions);
+    void noteSplits(Actions& actions);
     void adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions);
     /** Does what follows from the change; gives its record. */
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -64,7 +64,8 @@
     // Few routes have turns, many routes may be there.
     std::erase_if(this->turns, [&](const auto& item) {
         const auto& routes = this->current().routes;
-        return std::none_of(routes.begin(), routes.end(), [&](const Route& route) { return route.name == item.first; });
+        return std::none_of(routes.begin(), routes.end(),
+            [&](const Route& route) { return route.name == item.first && item.second.isFor(route.services); });
     });
 }
 
@@ -236,8 +237,9 @@
 
 void ServiceTable::sent(const Route& route, const std::string& service)
 {
+    // A request may be sent by the route as it was when it came.
     const auto turn = this->turns.find(route.name);
-    if (turn != this->turns.end())
+    if (turn != this->turns.end() && turn->second.isFor(route.services))
         turn->second.sent(service);
 }
 
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -83,7 +83,7 @@
     std::span<const std::shared_ptr<ServiceState>> all() const { return this->services; }
 
 private:
-    /** Those of routes that are no longer there. */
+    /** Those of routes that are no longer there or are divided otherwise: what was owed before counts no more. */
     void forgetTurns();
     void put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes);
     /** Adds the record to its service's pool, as its data centre is to be used. */
--- a/Source/Quotas/QuotaPlan.cpp
+++ b/Source/Quotas/QuotaPlan.cpp
@@ -33,7 +33,7 @@
     const double usedLater = this->limit.requestsPerSecond * (CreditLife / Second);
     const double left = this->limit.burst + this->beyondLimit() * (1 - KeptForDealt) - usedLater;
     // Without a whole request nothing could ever be granted.
-    return std::max(1.0, std::min(this->limit.burst, left));
+    return std::max(1.0, left);
 }
 
 double QuotaPlan::dealtPerSecond() const
--- a/Source/Routing/WeightedTurn.cpp
+++ b/Source/Routing/WeightedTurn.cpp
@@ -1,6 +1,8 @@
 #include "Routing/WeightedTurn.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace burlreach {
 
@@ -8,31 +10,40 @@
 
 /** Requests that a service may be sent beyond its share. */
 constexpr double MostAhead = 1;
+constexpr double LongestPeriod = 10000;
 
 }
 
 WeightedTurn::WeightedTurn(std::span<const WeightedService> services, double start)
 {
-    for (const WeightedService& service : services)
-        this->totalWeight += service.weight;
+    std::uint32_t divisor = 0;
     for (const WeightedService& service : services) {
-        // The part that the start falls into is owed the most.
-        const double share = service.weight / std::max(this->totalWeight, 1.0);
-        const bool isFirst = start >= 0 && start < share;
-        this->parts.push_back({ .service = service, .credit = isFirst ? 1 - share : -share * start });
-        start -= share;
+        this->totalWeight += service.weight;
+        divisor = std::gcd(divisor, service.weight);
+        this->parts.push_back({ .service = service });
     }
+    // The order repeats after so many requests. Begun anywhere in it, each request is each part's by its weight, also
+    // where an instance sees only one or two.
+    const double period = std::min(LongestPeriod, this->totalWeight / std::max(divisor, 1U));
+    for (double turns = std::floor(start * period); turns >= 1; turns -= 1)
+        this->takeTurn();
 }
 
-const std::string& WeightedTurn::next()
+WeightedTurn::Part& WeightedTurn::takeTurn()
 {
     for (Part& part : this->parts)
         part.credit += part.service.weight / std::max(this->totalWeight, 1.0);
-    const auto owed = std::max_element(this->parts.begin(), this->parts.end(),
+    Part& owed = *std::max_element(this->parts.begin(), this->parts.end(),
         [](const Part& left, const Part& right) { return left.credit < right.credit; });
-    owed->credit -= 1;
-    if (owed->sentCredit > -MostAhead)
-        return owed->service.service;
+    owed.credit -= 1;
+    return owed;
+}
+
+const std::string& WeightedTurn::next()
+{
+    const Part& owed = this->takeTurn();
+    if (owed.sentCredit > -MostAhead)
+        return owed.service.service;
     const auto behind = std::max_element(this->parts.begin(), this->parts.end(),
         [](const Part& left, const Part& right) { return left.sentCredit < right.sentCredit; });
     return behind->service.service;
--- a/Source/Routing/WeightedTurn.h
+++ b/Source/Routing/WeightedTurn.h
@@ -2,6 +2,7 @@
 
 #include "Configuration/RoutingConfiguration.h"
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <vector>
@@ -10,9 +11,9 @@
 
 /**
  * Divides a route's requests among its services in proportion to the weights,
- * evenly in time: each service's count never strays from its share by more
- * than one. Instances begin at different points, so that they do not all send
- * the same part first.
+ * evenly in time: each service's count hardly strays from its share. Instances
+ * begin at different points of the same order, so that the weights also hold
+ * for a fleet whose instances see a request or two each.
  *
  * Requests that are refused before they are sent do not count for a service.
  * While one service refuses more than others, the others get no more than a
@@ -36,6 +37,9 @@
         double sentCredit = 0; // of those that were sent
     };
 
+    /** The part that the next request is owed to. */
+    Part& takeTurn();
+
     std::vector<Part> parts;
     double totalWeight = 0;
 };
--- /dev/null
+++ b/Tests/Node/SplitRoutesTest.cpp
@@ -0,0 +1,119 @@
+// Seen: for seven seconds after a route was divided 3 to 1 again, 85 of 100 of
+// its requests went to the smaller part. Before that it had led to the larger
+// part alone for 16 s.
+// Cause: each instance kept its turns through that time and went on counting
+// what was sent, so the smaller part was owed six to ten requests an instance.
+
+#include "Node/ServiceTable.h"
+#include "Routing/LoadAwarePolicy.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+class PlainPolicies final : public PolicyFactory {
+public:
+    std::unique_ptr<RoutingPolicy> create() const override { return std::make_unique<LoadAwarePolicy>(); }
+};
+
+using Parts = std::vector<WeightedService>;
+
+const Parts Divided{ { .service = "small", .weight = 25 }, { .service = "large", .weight = 75 } };
+const Parts Turned{ { .service = "small", .weight = 75 }, { .service = "large", .weight = 25 } };
+const Parts OnlyLarge{ { .service = "large", .weight = 1 } };
+
+/** The route tables of a fleet, whose instances see the requests of one route at random. */
+class Fleet {
+public:
+    explicit Fleet(std::size_t instances)
+    {
+        for (std::size_t index = 0; index < instances; ++index) {
+            this->randoms.push_back(std::make_unique<Random>(index + 1));
+            this->tables.push_back(std::make_unique<ServiceTable>(
+                ServiceTable::Options{ .policies = std::make_shared<PlainPolicies>(), .retries = {} },
+                *this->randoms.back()));
+        }
+    }
+
+    void lead(const Parts& parts)
+    {
+        auto routing = std::make_shared<PreparedRouting>();
+        routing->configuration.routes.push_back({ .name = "r", .host = "a", .pathPrefix = "/", .services = parts });
+        routing->configuration.services = { { .name = "small" }, { .name = "large" } };
+        routing->routes = RouteTable(routing->configuration);
+        for (const auto& table : this->tables)
+            table->setRouting(routing);
+    }
+
+    /** The share of the larger part; of the smaller one's requests one in so many is refused before it is sent. */
+    double shareOfLarge(std::size_t requests, std::size_t refusedOneIn = 0)
+    {
+        std::size_t large = 0;
+        std::size_t sent = 0;
+        for (std::size_t count = 0; count < requests; ++count) {
+            ServiceTable& table = *this->tables[this->random.below(this->tables.size())];
+            const auto route = table.route("a", "GET", "/x");
+            const std::string service = table.serviceFor(*route)->description.name;
+            if (service == "small" && refusedOneIn && this->random.below(refusedOneIn) == 0)
+                continue;
+            table.sent(*route, service);
+            ++sent;
+            large += service == "large" ? 1 : 0;
+        }
+        return static_cast<double>(large) / static_cast<double>(sent);
+    }
+
+private:
+    std::vector<std::unique_ptr<Random>> randoms;
+    std::vector<std::unique_ptr<ServiceTable>> tables;
+    Random random{ 3 };
+};
+
+/** What the users allow a part to stray from its weight. */
+constexpr double Stray = 0.05;
+
+}
+
+TEST_GROUP(SplitRoutes){};
+
+TEST(SplitRoutes, WeightsHoldAgainAfterTheRouteLedToOnePartAlone)
+{
+    for (const std::size_t instances : { 3, 40, 984 }) {
+        Fleet fleet(instances);
+        fleet.lead(Divided);
+        fleet.shareOfLarge(instances * 10);
+        fleet.lead(OnlyLarge);
+        DOUBLES_EQUAL(1, fleet.shareOfLarge(instances * 40), 0);
+        fleet.lead(Divided);
+        DOUBLES_EQUAL(0.75, fleet.shareOfLarge(850), Stray);
+        fleet.lead(Turned);
+        DOUBLES_EQUAL(0.25, fleet.shareOfLarge(850), Stray);
+    }
+}
+
+TEST(SplitRoutes, WeightsHoldForAFleetWhoseInstancesSeeHardlyARequestEach)
+{
+    for (const std::size_t instances : { 40, 984, 2000 }) {
+        Fleet fleet(instances);
+        for (const Parts& parts : { Divided, Turned, Divided }) {
+            fleet.lead(parts);
+            DOUBLES_EQUAL(parts.back().weight / 100.0, fleet.shareOfLarge(850), Stray);
+        }
+    }
+}
+
+TEST(SplitRoutes, WeightsHoldForWhatIsSentWhileOnePartRefusesSome)
+{
+    for (const std::size_t instances : { 3, 40 }) {
+        Fleet fleet(instances);
+        fleet.lead(Divided);
+        DOUBLES_EQUAL(0.75, fleet.shareOfLarge(instances * 100, 3), Stray);
+    }
+}
