Roll-outs: a service is brought to a new version by evidence, or back

Change: Source/Rollouts holds order, state, plan and evidence. The state lies in the store, written by the leading watcher under the condition of the revision that it knows; every instance acts on it. Each tells with its hello what it counted of both versions' answers, by route; Page's test judges them.

Ruled out: a fixed count of failures (a noisy service loses good versions), shares that grow by evidence alone (a version that turns bad late has had most requests), a writer chosen by a lease (the leading watcher is there already).

--- a/Source/Configuration/BackendServerRecord.h
+++ b/Source/Configuration/BackendServerRecord.h
@@ -14,6 +14,7 @@
     std::string id;
     std::uint64_t life = 0; // begun anew under the same id it has a higher number; 0: its lives are not told apart
     std::string service;
+    std::string version; // of its software; empty: not told
     NetworkAddress address;
     std::string dataCentre;
     std::size_t slots = 3; // requests that it works on at once
--- a/Source/Configuration/ChangeApplier.cpp
+++ b/Source/Configuration/ChangeApplier.cpp
@@ -18,6 +18,12 @@
     return std::find_if(list.begin(), list.end(), [&](const auto& item) { return item.name() == name; });
 }
 
+auto findRollout(google::protobuf::RepeatedPtrField<v1::Rollout>& rollouts, const std::string& service)
+{
+    return std::find_if(
+        rollouts.begin(), rollouts.end(), [&](const v1::Rollout& rollout) { return rollout.service() == service; });
+}
+
 auto findRule(v1::Service& service, const std::string& method, const std::string& prefix)
 {
     return std::find_if(service.mutable_rules()->begin(), service.mutable_rules()->end(),
@@ -84,6 +90,10 @@
         return this->setCustomer(request.set_customer());
     case v1::ChangeRequest::kRemoveCustomer:
         return this->removeCustomer(request.remove_customer());
+    case v1::ChangeRequest::kBeginRollout:
+        return this->beginRollout(request.begin_rollout());
+    case v1::ChangeRequest::kEndRollout:
+        return this->endRollout(request.end_rollout());
     case v1::ChangeRequest::CHANGE_NOT_SET:
         break;
     }
@@ -234,4 +244,31 @@
         customers.erase(found);
 }
 
+void ChangeApplier::beginRollout(const v1::BeginRollout& change)
+{
+    if (!this->findService(change.rollout().service()))
+        return;
+    if (change.rollout().target_version().empty())
+        this->result.findings.add(
+            "/rollout/target_version", "is empty; write the version as its backend servers name it");
+    if (!change.rollout().duration_milliseconds())
+        this->result.findings.add("/rollout/duration_milliseconds", "is 0; write by when it should be done");
+    auto& rollouts = *this->result.configuration.mutable_rollouts();
+    const auto found = findRollout(rollouts, change.rollout().service());
+    v1::Rollout& rollout = found == rollouts.end() ? *rollouts.Add() : *found;
+    rollout = change.rollout();
+    // The revision of this change, so that a second order for the same version is another one.
+    rollout.set_begun_at_revision(this->result.configuration.revision() + 1);
+}
+
+void ChangeApplier::endRollout(const v1::EndRollout& change)
+{
+    auto& rollouts = *this->result.configuration.mutable_rollouts();
+    const auto found = findRollout(rollouts, change.service());
+    if (found == rollouts.end())
+        this->result.findings.add("/service", "there is no roll-out of \"" + change.service() + "\"; see the service");
+    else
+        rollouts.erase(found);
+}
+
 }
--- a/Source/Configuration/ChangeApplier.h
+++ b/Source/Configuration/ChangeApplier.h
@@ -32,6 +32,8 @@
     void emptyDataCentre(const v1::EmptyDataCentre& change);
     void setCustomer(const v1::SetCustomer& change);
     void removeCustomer(const v1::RemoveCustomer& change);
+    void beginRollout(const v1::BeginRollout& change);
+    void endRollout(const v1::EndRollout& change);
     v1::Service* findService(const std::string& name);
     v1::BackendServer* findBackendServer(v1::Service& service, const std::string& name);
 
--- a/Source/Configuration/FactTranslator.h
+++ b/Source/Configuration/FactTranslator.h
@@ -3,6 +3,8 @@
 #include "Base/Findings.h"
 #include "Configuration/BackendServerRecord.h"
 #include "Configuration/RoutingConfiguration.h"
+#include "Rollouts/RolloutOrder.h"
+#include "Rollouts/RolloutState.h"
 #include "Store/StoreItem.h"
 
 #include <optional>
@@ -26,6 +28,8 @@
     std::vector<std::string> unusableBackendServers; // ids whose records cannot be read; not to be used any more
     std::vector<DataCentreOrder> dataCentres; // new or changed
     bool areAllDataCentres = false; // those not named are in use
+    std::vector<RolloutOrder> rollouts; // new, changed or withdrawn
+    bool areAllRollouts = false; // those not named are withdrawn
     Findings findings; // why the item could not be read; it is ignored then
 };
 
@@ -36,6 +40,8 @@
     /** Keys with this prefix are watched. */
     virtual std::string watchedPrefix() const = 0;
     virtual Facts translate(const StoreItem& item) const = 0;
+    /** What operators find in the store of a roll-out, under which key; an empty key: they ask the instances. */
+    virtual StoreItem rolloutStatus(const std::string&, const RolloutState&) const { return {}; }
     /**
      * The value with digests in place of the secrets in it, which no instance keeps or passes on; nothing when it
      * holds none. The same on every instance, and translate() reads it as it reads the value.
--- a/Source/Configuration/OwnFactTranslator.cpp
+++ b/Source/Configuration/OwnFactTranslator.cpp
@@ -110,6 +110,7 @@
     record.life = server.life();
     record.service = service.name();
     record.dataCentre = server.data_centre();
+    record.version = server.version();
     if (server.slots())
         record.slots = server.slots();
     record.draining = server.draining();
@@ -127,6 +128,12 @@
     facts.areAllDataCentres = true;
     for (const std::string& dataCentre : configuration.emptied_data_centres())
         facts.dataCentres.push_back({ .dataCentre = dataCentre, .emptied = true });
+    facts.areAllRollouts = true;
+    for (const v1::Rollout& rollout : configuration.rollouts())
+        facts.rollouts.push_back({ .service = rollout.service(),
+            .targetVersion = rollout.target_version(),
+            .duration = { static_cast<double>(rollout.duration_milliseconds()) },
+            .number = rollout.begun_at_revision() });
     for (const v1::Customer& customer : configuration.customers())
         routing.customers.push_back(customerOf(customer));
     for (const v1::Service& service : configuration.services()) {
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -95,6 +95,7 @@
         this->helloReceived(message.hello(), now, actions);
         this->parts.crashes->receive(message.hello().crashes(), this->parts.store->isWatching(), now, actions);
         this->parts.signs->receive(message.hello().leaving_signs(), now);
+        this->parts.rollouts->receive(message.from(), message.hello().rollouts(), now);
         break;
     case peers::PeerMessage::kNews:
         this->newsReceived(message, now, actions);
@@ -332,6 +333,7 @@
     hello->set_store_revision(this->parts.store->view().revision());
     this->parts.signs->fill(*hello->mutable_leaving_signs(), now);
     this->parts.crashes->fillWithOwn(*hello->mutable_crashes(), now);
+    this->parts.rollouts->fill(*hello->mutable_rollouts());
     return message;
 }
 
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -10,6 +10,7 @@
 #include "Node/Actions.h"
 #include "Node/CrashingRequests.h"
 #include "Node/LeavingSigns.h"
+#include "Node/RolloutDesk.h"
 #include "Node/StoreKeeper.h"
 
 #include <cstdint>
@@ -53,6 +54,7 @@
         StoreKeeper* store = nullptr;
         LeavingSigns* signs = nullptr;
         CrashingRequests* crashes = nullptr;
+        RolloutDesk* rollouts = nullptr;
         Random* random = nullptr;
         DecisionCounters* counters = nullptr;
     };
@@ -66,6 +68,8 @@
     void viewChanged(Milliseconds now, Actions& actions);
     /** Something was seen or heard here, such as a sign of leaving: the others should hear at once. */
     void tellAtOnce(Milliseconds now, Actions& actions);
+    /** What was seen here should be heard by those that watch the store. */
+    void tellWatchers(Milliseconds now, Actions& actions) { this->sayHello(now, actions); }
     void setSeeds(std::vector<NetworkAddress> seeds);
     void tick(Milliseconds now, Actions& actions);
     Milliseconds nextDue() const;
@@ -75,6 +79,8 @@
     bool leads(Milliseconds now) const { return this->parts.store->isWatching() && this->duty.leads(now); }
     /** The store gave no usable answer to a call from here. */
     void askedInVain() { this->duty.askedInVain(); }
+    /** Other instances that said hello here lately. */
+    const std::vector<KnownMember>& knownInstances() const { return this->members.members(); }
     /** Null when nothing was heard lately of an instance of this name. */
     const KnownMember* memberNamed(std::string_view name) const { return this->members.byName(name); }
     /** Instances of the fleet, this one included, as far as it is known. */
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -109,6 +109,7 @@
           { .store = &this->store,
               .signs = &this->signs,
               .crashes = &this->crashes,
+              .rollouts = &this->rollouts,
               .random = &this->random,
               .counters = &this->decisionCounters })
     , quotas({ .self = memberOf(givenOptions), .bound = givenOptions.quotas },
@@ -118,6 +119,13 @@
               .storeCalls = &this->storeCalls,
               .random = &this->random,
               .counters = &this->decisionCounters })
+    , rollouts({ .self = memberOf(givenOptions).incarnation() },
+          { .services = &this->services,
+              .store = &this->store,
+              .news = &this->news,
+              .translator = givenOptions.translator.get(),
+              .storeCalls = &this->storeCalls,
+              .random = &this->random })
     , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre }, this->random)
     , flow(flowOf(givenOptions),
           { .services = &this->services,
@@ -126,7 +134,8 @@
               .counters = &this->decisionCounters,
               .store = &this->store,
               .crashes = &this->crashes,
-              .quotas = &this->quotas })
+              .quotas = &this->quotas,
+              .rollouts = &this->rollouts })
     , changes(
           { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
@@ -137,6 +146,10 @@
     std::visit([&](const auto& item) { this->dispatch(item, now, actions); }, event);
     this->passOnLeaving(now, actions);
     this->passOnCrashes(now, actions);
+    if (now >= this->rollouts.nextTelling()) {
+        this->rollouts.told();
+        this->news.tellWatchers(now, actions);
+    }
     for (AnswerChange& answer : this->changeAnswers)
         actions.emplace_back(std::move(answer));
     this->changeAnswers.clear();
@@ -252,7 +265,8 @@
 void Node::dispatch(const StoreAnswered& event, Milliseconds now, Actions& actions)
 {
     const bool isForWriters = this->changes.answered(event.answer, now)
-        || this->crashRecorder.answered(event.answer, now) || this->quotas.answered(event.answer, now);
+        || this->crashRecorder.answered(event.answer, now) || this->quotas.answered(event.answer, now)
+        || this->rollouts.answered(event.answer, now);
     if (!isForWriters && this->store.answered(this->withoutSecrets(event.answer), now, actions)
         && this->store.isWatching())
         this->news.spread(now, actions);
@@ -265,6 +279,8 @@
         this->store.takeWritten(*written, now, actions);
     if (const auto written = this->quotas.takeWritten())
         this->store.takeWritten(*written, now, actions);
+    if (const auto written = this->rollouts.takeWritten())
+        this->store.takeWritten(*written, now, actions);
     this->askStore(now, actions);
 }
 
@@ -318,6 +334,8 @@
         actions.emplace_back(AskStore{ .request = std::move(*request) });
     if (auto request = this->quotas.nextCall(this->stopping, now))
         actions.emplace_back(AskStore{ .request = std::move(*request) });
+    if (auto request = this->rollouts.nextCall(now))
+        actions.emplace_back(AskStore{ .request = std::move(*request) });
     this->noteWatching(actions);
 }
 
@@ -383,8 +401,9 @@
 
 Milliseconds Node::nextControlDue() const
 {
-    Milliseconds due = std::min({ this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(),
-        this->crashes.nextDue(), this->crashRecorder.nextDue(), this->quotas.nextControlDue() });
+    Milliseconds due = std::min(
+        { this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(), this->crashes.nextDue(),
+            this->crashRecorder.nextDue(), this->quotas.nextControlDue(), this->rollouts.nextDue() });
     if (this->store.isWatching() || !this->store.view().revision())
         due = std::min(due, this->store.nextAt());
     return due;
@@ -398,6 +417,8 @@
             this->takeKeptCrashes(item, now, actions);
         else if (item.key == GrantorKey)
             this->noteGrantor(item, source, actions);
+        else if (item.key.starts_with(RolloutPrefix))
+            this->rollouts.stateChanged(item, now, actions);
         else if (item.value.size() < LargeValueBytes)
             this->adopt(*translateItem(*this->options.translator, item, source), now, actions);
         else
@@ -436,6 +457,8 @@
         return;
     this->adoptDataCentres(item, now, actions);
     this->adoptBackendServers(item, now, actions);
+    this->rollouts.ordered(item.facts, now, actions);
+    this->rollouts.apply();
 }
 
 void Node::adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions)
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -15,6 +15,7 @@
 #include "Node/PolicyFactory.h"
 #include "Node/QuotaDesk.h"
 #include "Node/RequestFlow.h"
+#include "Node/RolloutDesk.h"
 #include "Node/ServerPauses.h"
 #include "Node/ServiceTable.h"
 #include "Node/StoreKeeper.h"
@@ -82,6 +83,10 @@
     {
         return this->quotas.show(customer, now);
     }
+    v1::ShowRolloutAnswer showRollout(const std::string& service, Milliseconds now) const
+    {
+        return this->rollouts.show(service, now);
+    }
     /** How much credit for customers' requests this instance grants. */
     GrantMode grantMode(Milliseconds now) const { return this->quotas.mode(now); }
     /** Requests under which servers ended. */
@@ -144,6 +149,7 @@
     StoreKeeper store;
     NewsExchange news;
     QuotaDesk quotas;
+    RolloutDesk rollouts;
     FleetSize fleetSize;
     ProbeDesk probes;
     RequestFlow flow;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -120,6 +120,7 @@
 
 void RequestFlow::begin(RequestState& request, Milliseconds now, Actions& actions)
 {
+    request.wantsTarget = this->parts.rollouts->takeTurn(*request.service);
     if (this->chooser.begin(request, now, actions))
         request.phase = RequestPhase::Asking;
     else
@@ -295,6 +296,7 @@
     RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions) const
 {
     BackendServerState& server = *flight.server;
+    this->parts.rollouts->answered(request, flight, end, now);
     request.service->pool.learn(server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now));
     if (isProvedNotRun(end.result)) {
         --request.history.mayHaveRun;
@@ -392,8 +394,10 @@
     this->parts.counters->add(DecisionCount::Answered);
     this->parts.crashes->answered(request, now, actions);
     const bool isOvertaken = !request.flights.empty() && flight.attempt > request.flights.front().attempt;
-    if (isOvertaken)
+    if (isOvertaken) {
         this->parts.counters->add(DecisionCount::HedgesWon);
+        this->parts.rollouts->overtaken(request, request.flights.front(), now);
+    }
     actions.emplace_back(recordOfAnswered(request, flight, end, now));
     actions.emplace_back(PassAnswer{ .request = request.number, .attempt = flight.attempt });
     this->close(request, now, actions);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -8,6 +8,7 @@
 #include "Node/Events.h"
 #include "Node/QuotaDesk.h"
 #include "Node/RequestState.h"
+#include "Node/RolloutDesk.h"
 #include "Node/ServerChooser.h"
 #include "Node/ServiceTable.h"
 #include "Node/StoreKeeper.h"
@@ -48,6 +49,7 @@
         const StoreKeeper* store = nullptr;
         CrashingRequests* crashes = nullptr;
         QuotaDesk* quotas = nullptr;
+        RolloutDesk* rollouts = nullptr;
     };
 
     RequestFlow(Options options, Parts parts);
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -52,6 +52,7 @@
     AttemptHistory history;
     unsigned attempts = 0;
     bool hedged = false;
+    bool wantsTarget = false; // it is for the version of its service that is tried
     std::optional<Milliseconds> timeLeft; // as its caller told it when it came
     std::optional<Milliseconds> creditAt; // when credit for it was granted, unless it needs none
     std::optional<Milliseconds> comeBackAfter; // known better than by the reason of a refusal
--- /dev/null
+++ b/Source/Node/RolloutDesk.cpp
@@ -0,0 +1,374 @@
+#include "Node/RolloutDesk.h"
+
+#include "Node/NewsExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+/** An answer that takes longer than the expected time by this factor is bad, unless the server is cold. */
+constexpr double SlowFactor = 4;
+
+bool isJudged(const AttemptEnd& end)
+{
+    return end.result != AttemptResult::Cancelled && !isProvedNotRun(end.result);
+}
+
+bool isBad(const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
+{
+    if (end.result != AttemptResult::Answered)
+        return true;
+    const Milliseconds longest = request.service->expectedTime(*request.route) * SlowFactor;
+    return now - flight.sentAt > longest && !flight.server->isCold(now);
+}
+
+}
+
+Milliseconds RolloutDesk::Rollout::elapsed(Milliseconds now) const
+{
+    return this->hasState() ? this->state->elapsed + (now - this->stateSince) : now - this->orderedAt;
+}
+
+RolloutDesk::RolloutDesk(const Options& givenOptions, Parts givenParts)
+    : options(givenOptions)
+    , parts(givenParts)
+    , backoff({})
+{
+}
+
+void RolloutDesk::ordered(const Facts& facts, Milliseconds now, Actions& actions)
+{
+    for (const RolloutOrder& order : facts.rollouts)
+        this->order(order, now, actions);
+    if (!facts.areAllRollouts)
+        return;
+    for (auto& [service, rollout] : this->rollouts) {
+        const bool isNamed = std::any_of(facts.rollouts.begin(), facts.rollouts.end(),
+            [&](const RolloutOrder& order) { return order.service == service; });
+        rollout.order.isWithdrawn = rollout.order.isWithdrawn || !isNamed;
+    }
+    this->apply();
+}
+
+void RolloutDesk::order(const RolloutOrder& order, Milliseconds now, Actions& actions)
+{
+    Rollout& rollout = this->rollouts[order.service];
+    if (order.number < rollout.order.number || order == rollout.order)
+        return;
+    if (order.number > rollout.order.number && !order.isWithdrawn) {
+        rollout.orderedAt = now;
+        rollout.own.clear();
+        rollout.fleet = {};
+        rollout.told.clear();
+    }
+    rollout.order = order;
+    actions.emplace_back(beliefOf(order.isWithdrawn ? "rollout_withdrawn" : "rollout_ordered", order.service)
+                             .with("target_version", order.targetVersion)
+                             .with("duration", order.duration.count)
+                             .with("order", order.number));
+    this->apply();
+}
+
+void RolloutDesk::stateChanged(const StoreItem& item, Milliseconds now, Actions& actions)
+{
+    const std::string service = item.key.substr(std::string_view(RolloutPrefix).size());
+    Rollout& rollout = this->rollouts[service];
+    rollout.state = item.removed ? std::nullopt : readRolloutState(item.value);
+    rollout.stateRevision = item.revision;
+    rollout.stateSince = now;
+    this->apply();
+    this->tellSoon(now);
+    if (!rollout.state)
+        return;
+    actions.emplace_back(
+        beliefOf("rollout_state", service)
+            .with("target_version", rollout.state->targetVersion)
+            .with("phase", rollout.state->phase == RolloutPhase::Moved ? "moved" : nameOf(rollout.state->phase))
+            .with("share", rollout.state->share)
+            .with("elapsed", rollout.state->elapsed.count)
+            .with("revision", item.revision));
+}
+
+VersionRule RolloutDesk::ruleOf(const Rollout& rollout, const ServiceState& service) const
+{
+    VersionRule rule{ .use = VersionRule::Use::All, .target = rollout.order.targetVersion };
+    if (rollout.state && rollout.state->phase == RolloutPhase::RolledBack && !rollout.hasState())
+        // Of an earlier order: its servers are to get nothing until they have left.
+        return { .use = VersionRule::Use::Usual, .target = rollout.state->targetVersion };
+    if (rollout.hasState()) {
+        rule.target = rollout.state->targetVersion;
+        rule.share = rollout.state->share;
+        const bool isAllThere = rollout.state->phase == RolloutPhase::Moved
+            || (rollout.state->phase == RolloutPhase::Completed && rollout.isOrdered());
+        if (isAllThere)
+            rule.use = VersionRule::Use::Target;
+        else if (rollout.state->phase == RolloutPhase::RolledBack)
+            rule.use = VersionRule::Use::Usual;
+        else if (rollout.state->phase == RolloutPhase::Trying)
+            rule.use = rollout.isOrdered() ? VersionRule::Use::Shared : VersionRule::Use::Usual;
+        return rule;
+    }
+    // Ordered, and nobody has begun: the version that is there serves on.
+    const auto servers = service.pool.servers();
+    const bool hasUsual = std::any_of(servers.begin(), servers.end(),
+        [&](const auto& server) { return server->record().version != rule.target && server->takesNewRequests(); });
+    if (rollout.isOrdered() && hasUsual)
+        rule.use = VersionRule::Use::Usual;
+    return rule;
+}
+
+void RolloutDesk::apply()
+{
+    for (const auto& [name, rollout] : this->rollouts) {
+        if (const auto service = this->parts.services->byName(name)) {
+            const VersionRule rule = this->ruleOf(rollout, *service);
+            if (rule == service->pool.versionRule())
+                continue;
+            // Instances begin at different points, so that few requests are shared evenly too.
+            service->targetTurn = this->parts.random->unit();
+            service->pool.setVersionRule(rule);
+        }
+    }
+}
+
+bool RolloutDesk::takeTurn(ServiceState& service) const
+{
+    const VersionRule& rule = service.pool.versionRule();
+    if (rule.use != VersionRule::Use::Shared)
+        return false;
+    service.targetTurn += rule.share;
+    if (service.targetTurn < 1)
+        return false;
+    service.targetTurn -= 1;
+    return true;
+}
+
+void RolloutDesk::answered(const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
+{
+    if (isJudged(end))
+        this->count(request, flight, isBad(request, flight, end, now), now);
+}
+
+void RolloutDesk::overtaken(const RequestState& request, const Flight& flight, Milliseconds now)
+{
+    // Else hedges would hide a version that is slow.
+    if (!flight.server->isCold(now))
+        this->count(request, flight, true, now);
+}
+
+void RolloutDesk::count(const RequestState& request, const Flight& flight, bool isBadAnswer, Milliseconds now)
+{
+    const auto found = this->rollouts.find(request.service->description.name);
+    if (found == this->rollouts.end() || !found->second.isOrdered())
+        return;
+    Rollout& rollout = found->second;
+    const bool isTarget = flight.server->record().version == rollout.order.targetVersion;
+    VersionCounts& counts = rollout.own[request.route->name];
+    AnswerCounts& version = isTarget ? counts.target : counts.usual;
+    ++version.all;
+    if (!isBadAnswer)
+        return;
+    ++version.bad;
+    if (isTarget)
+        this->tellSoon(now);
+}
+
+void RolloutDesk::tellSoon(Milliseconds now)
+{
+    this->tellAt = std::min(this->tellAt, now + this->options.tellInterval);
+}
+
+std::uint32_t RolloutDesk::underWayAtUsual(const Rollout& rollout, const std::string& service) const
+{
+    const auto found = this->parts.services->byName(service);
+    if (!found)
+        return 0;
+    std::size_t sum = 0;
+    for (const auto& server : found->pool.servers())
+        sum += server->record().version != rollout.order.targetVersion ? server->inFlight() : 0;
+    return static_cast<std::uint32_t>(sum);
+}
+
+void RolloutDesk::fill(Messages& messages) const
+{
+    for (const auto& [service, rollout] : this->rollouts) {
+        const bool isOver = rollout.hasState() && rollout.state->isOver();
+        if (!rollout.isOrdered() || isOver)
+            continue;
+        peers::RolloutEvidence& message = *messages.Add();
+        message.set_service(service);
+        message.set_order(rollout.order.number);
+        message.set_under_way(this->underWayAtUsual(rollout, service));
+        message.set_state_revision(rollout.stateRevision);
+        for (const auto& [route, counts] : rollout.own) {
+            peers::RouteEvidence& one = *message.add_routes();
+            one.set_route(route);
+            one.set_usual_answers(counts.usual.all);
+            one.set_usual_bad(counts.usual.bad);
+            one.set_target_answers(counts.target.all);
+            one.set_target_bad(counts.target.bad);
+        }
+    }
+}
+
+void RolloutDesk::receive(const peers::Incarnation& from, const Messages& messages, Milliseconds now)
+{
+    for (const peers::RolloutEvidence& message : messages) {
+        const auto found = this->rollouts.find(message.service());
+        if (found == this->rollouts.end() || found->second.order.number != message.order())
+            continue;
+        CountsByRoute counts;
+        for (const peers::RouteEvidence& one : message.routes())
+            counts[one.route()] = { .usual = { .all = one.usual_answers(), .bad = one.usual_bad() },
+                .target = { .all = one.target_answers(), .bad = one.target_bad() } };
+        found->second.fleet.told(from.name(), from.number(), counts);
+        found->second.told[from.name()]
+            = { .at = now, .stateRevision = message.state_revision(), .underWay = message.under_way() };
+    }
+}
+
+v1::ShowRolloutAnswer RolloutDesk::show(const std::string& service, Milliseconds now) const
+{
+    v1::ShowRolloutAnswer answer;
+    const auto found = this->rollouts.find(service);
+    if (found == this->rollouts.end() || !found->second.isOrdered()) {
+        v1::Finding* finding = answer.add_findings();
+        finding->set_place("/service");
+        finding->set_message("there is no roll-out of \"" + service + "\"; begin one first");
+        return answer;
+    }
+    const Rollout& rollout = found->second;
+    VersionCounts total = rollout.fleet.total();
+    if (!total.usual.all && !total.target.all) {
+        for (const auto& [route, counts] : rollout.own)
+            total = total + counts;
+    }
+    answer.set_service(service);
+    answer.set_target_version(rollout.order.targetVersion);
+    answer.set_state(rollout.hasState() ? std::string(nameOf(rollout.state->phase)) : "ordered");
+    answer.set_share(rollout.hasState() ? rollout.state->share : 0);
+    answer.set_elapsed_milliseconds(static_cast<std::uint32_t>(std::max(0.0, rollout.elapsed(now).count)));
+    answer.set_duration_milliseconds(static_cast<std::uint32_t>(rollout.order.duration.count));
+    answer.set_usual_answers(total.usual.all);
+    answer.set_usual_bad(total.usual.bad);
+    answer.set_target_answers(total.target.all);
+    answer.set_target_bad(total.target.bad);
+    return answer;
+}
+
+double RolloutDesk::capacityOf(const Rollout& rollout, const std::string& service) const
+{
+    const auto found = this->parts.services->byName(service);
+    if (!found)
+        return 0;
+    double target = 0;
+    double usual = 0;
+    for (const auto& server : found->pool.servers()) {
+        if (server->takesNewRequests())
+            (server->record().version == rollout.order.targetVersion ? target : usual) += server->slots();
+    }
+    return target / std::max(usual, 1.0);
+}
+
+bool RolloutDesk::isOldIdle(const Rollout& rollout, const std::string& service, Milliseconds now) const
+{
+    if (this->underWayAtUsual(rollout, service))
+        return false;
+    const auto& members = this->parts.news->knownInstances();
+    return std::all_of(members.begin(), members.end(), [&](const KnownMember& known) {
+        if (now - known.heardAt > this->options.heardWithin)
+            return true;
+        const auto told = rollout.told.find(known.member.incarnation().name());
+        return told != rollout.told.end() && told->second.stateRevision >= rollout.stateRevision
+            && !told->second.underWay;
+    });
+}
+
+StoreRequest RolloutDesk::write(std::string key, std::string value)
+{
+    const StoreItem* stored = this->parts.store->view().find(key);
+    StoreRequest request;
+    request.number = this->parts.storeCalls->next();
+    request.operation = StoreOperation::Write;
+    request.key = key;
+    request.value = value;
+    request.expected = stored && !stored->removed ? stored->revision : 0;
+    request.timeout = this->options.answerTimeout;
+    this->pending = request.number;
+    this->writing = { .key = std::move(key), .value = std::move(value) };
+    return request;
+}
+
+std::optional<StoreRequest> RolloutDesk::nextCallFor(const std::string& service, Rollout& rollout, Milliseconds now)
+{
+    const std::string key = RolloutPrefix + service;
+    if (!rollout.hasState())
+        return this->write(key,
+            writeRolloutState({ .targetVersion = rollout.order.targetVersion,
+                .order = rollout.order.number,
+                .elapsed = rollout.elapsed(now) }));
+    const StoreItem status = this->parts.translator->rolloutStatus(service, *rollout.state);
+    const StoreItem* shown = this->parts.store->view().find(status.key);
+    const bool isShown = status.key.empty() || (shown && !shown->removed && shown->value == status.value);
+    if (!isShown)
+        return this->write(status.key, status.value);
+    rollout.fleet.told(this->options.self.name(), this->options.self.number(), rollout.own);
+    const VersionCounts& total = rollout.fleet.total();
+    const auto next = RolloutPlan::next(*rollout.state,
+        { .elapsed = rollout.elapsed(now),
+            .duration = std::max(rollout.order.duration, Second),
+            .isBad = rollout.fleet.isBad(),
+            .targetAnswers = total.target.all,
+            .allAnswers = total.target.all + total.usual.all,
+            .capacity = this->capacityOf(rollout, service),
+            .isOldIdle = this->isOldIdle(rollout, service, now) });
+    return next ? std::optional(this->write(key, writeRolloutState(*next))) : std::nullopt;
+}
+
+std::optional<StoreRequest> RolloutDesk::nextCall(Milliseconds now)
+{
+    if (this->pending || now < this->lookAt)
+        return std::nullopt;
+    this->lookAt = now + this->options.interval;
+    if (!this->parts.news->leads(now))
+        return std::nullopt;
+    for (auto& [service, rollout] : this->rollouts) {
+        if (!rollout.isOrdered())
+            continue;
+        if (auto request = this->nextCallFor(service, rollout, now))
+            return request;
+    }
+    return std::nullopt;
+}
+
+bool RolloutDesk::answered(const StoreAnswer& answer, Milliseconds now)
+{
+    if (!this->pending || answer.number != this->pending)
+        return false;
+    this->pending = 0;
+    if (answer.status != StoreStatus::Done) {
+        // After a conflict the watch brings what is there; without an answer it may bring what was written.
+        this->lookAt = now + this->backoff.next(*this->parts.random);
+        return true;
+    }
+    this->backoff.reset();
+    this->lookAt = now;
+    this->writing.revision = answer.at;
+    this->written = std::move(this->writing);
+    return true;
+}
+
+Milliseconds RolloutDesk::nextDue() const
+{
+    const bool anyRuns = std::any_of(this->rollouts.begin(), this->rollouts.end(), [](const auto& item) {
+        const Rollout& rollout = item.second;
+        return rollout.isOrdered() && !(rollout.hasState() && rollout.state->isOver());
+    });
+    const bool mayWrite = anyRuns && this->parts.store->isWatching() && !this->pending;
+    return std::min(this->tellAt, mayWrite ? this->lookAt : Never);
+}
+
+}
--- a/Source/Node/ServerChooser.cpp
+++ b/Source/Node/ServerChooser.cpp
@@ -38,9 +38,11 @@
 
 RoutingContext ServerChooser::contextOf(const RequestState& request, Milliseconds now) const
 {
-    return {
-        .now = now, .dataCentre = this->options.dataCentre, .expected = request.service->expectedTime(*request.route)
-    };
+    return { .now = now,
+        .dataCentre = this->options.dataCentre,
+        .expected = request.service->expectedTime(*request.route),
+        // A version that is tried gets no more than first attempts.
+        .wantsTarget = request.wantsTarget && request.tried.empty() };
 }
 
 ChoiceWish ServerChooser::wishOf(const RequestState& request, Milliseconds now) const
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -40,6 +40,7 @@
     ServiceDescription description;
     ServicePool pool;
     WaitingQueue queue;
+    double targetTurn = 0; // reaches 1 when the next request is for the version that is tried
     RetryBudget retryBudget;
     /** Late callers that go with the others; a larger share takes more from those that can be in time. */
     TokenShare lateAsFresh{ { .share = 0.02, .most = 2 } };
--- a/Source/Operators/InstanceReader.h
+++ b/Source/Operators/InstanceReader.h
@@ -13,6 +13,7 @@
     virtual v1::Configuration configurationInForce() const = 0;
     virtual v1::ShowLoadAnswer showLoad(const std::string& service) const = 0;
     virtual v1::ShowCountersAnswer showCounters() const = 0;
+    virtual v1::ShowRolloutAnswer showRollout(const std::string& service) const = 0;
     virtual v1::ShowCustomerAnswer showCustomer(const std::string& customer) const = 0;
     virtual v1::ShowCrashingRequestsAnswer showCrashingRequests() const = 0;
     virtual bool isReady() const = 0;
--- a/Source/Operators/OperatorServer.cpp
+++ b/Source/Operators/OperatorServer.cpp
@@ -102,6 +102,7 @@
     this->addCall("ShowInForce", &OperatorServer::showInForce);
     this->addCall("ShowLoad", &OperatorServer::showLoad);
     this->addCall("ShowCounters", &OperatorServer::showCounters);
+    this->addCall("ShowRollout", &OperatorServer::showRollout);
     this->addCall("ShowCustomer", &OperatorServer::showCustomer);
     this->addCall("ShowCrashingRequests", &OperatorServer::showCrashingRequests);
 }
@@ -159,6 +160,11 @@
     return this->reader->showLoad(request.service());
 }
 
+v1::ShowRolloutAnswer OperatorServer::showRollout(const v1::ShowRolloutRequest& request)
+{
+    return this->reader->showRollout(request.service());
+}
+
 v1::ShowCustomerAnswer OperatorServer::showCustomer(const v1::ShowCustomerRequest& request)
 {
     return this->reader->showCustomer(request.customer());
--- a/Source/Operators/OperatorServer.h
+++ b/Source/Operators/OperatorServer.h
@@ -44,6 +44,7 @@
     v1::ShowInForceAnswer showInForce(const v1::ShowInForceRequest& request);
     v1::ShowLoadAnswer showLoad(const v1::ShowLoadRequest& request);
     v1::ShowCountersAnswer showCounters(const v1::ShowCountersRequest& request);
+    v1::ShowRolloutAnswer showRollout(const v1::ShowRolloutRequest& request);
     v1::ShowCustomerAnswer showCustomer(const v1::ShowCustomerRequest& request);
     v1::ShowCrashingRequestsAnswer showCrashingRequests(const v1::ShowCrashingRequestsRequest& request);
 
--- a/Source/Program/ControlCommand.cpp
+++ b/Source/Program/ControlCommand.cpp
@@ -66,6 +66,7 @@
     this->addRuleVerbs(*control);
     this->addLimitsVerb(*control);
     this->addCustomerVerbs(*control);
+    this->addRolloutVerbs(*control);
     this->addShowVerbs(*control);
 }
 
@@ -147,6 +148,9 @@
         ->required();
     addField<std::uint32_t>(
         *name, "--slots", this->server, &v1::BackendServer::set_slots, "Requests that it works on at once");
+    addTextField(
+        *name, "--version", [this](const std::string& value) { this->server.set_version(value); },
+        "Version of its software");
     addField<std::uint64_t>(*name, "--life", this->server, &v1::BackendServer::set_life,
         "Another number: it began anew, and nothing known of it before holds");
 
@@ -286,8 +290,36 @@
     remove->add_option("--name", this->customerName, "Name of the customer")->required();
 }
 
+void ControlCommand::addRolloutVerbs(CLI::App& control)
+{
+    CLI::App* begin = this->addChange(control, "begin-rollout",
+        "Move the requests of a service to its backend servers of another version", [this](auto& request) {
+            this->rollout.set_service(this->service);
+            *request.mutable_begin_rollout()->mutable_rollout() = this->rollout;
+        });
+    this->addServiceOption(*begin);
+    addTextField(
+        *begin, "--target-version", [this](const std::string& value) { this->rollout.set_target_version(value); },
+        "Version as its backend servers name it")
+        ->required();
+    addField<std::uint32_t>(*begin, "--duration-milliseconds", this->rollout, &v1::Rollout::set_duration_milliseconds,
+        "By then it should be done")
+        ->required();
+
+    CLI::App* end = this->addChange(control, "end-rollout", "Take the order for a new version back",
+        [this](auto& request) { request.mutable_end_rollout()->set_service(this->service); });
+    this->addServiceOption(*end);
+}
+
 void ControlCommand::addShowVerbs(CLI::App& control)
 {
+    CLI::App* showRollout
+        = this->addVerb(control, "show-rollout", "Show how far a new version of a service is brought in", [this] {
+              v1::ShowRolloutRequest request;
+              request.set_service(this->service);
+              this->show<v1::ShowRolloutAnswer>("ShowRollout", request);
+          });
+    this->addServiceOption(*showRollout);
     CLI::App* showCustomer
         = this->addVerb(control, "show-customer", "Show the limit of a customer, and what was granted of it", [this] {
               v1::ShowCustomerRequest request;
--- a/Source/Program/ControlCommand.h
+++ b/Source/Program/ControlCommand.h
@@ -27,6 +27,7 @@
     void addBackendServerVerbs(CLI::App& control);
     void addRuleVerbs(CLI::App& control);
     void addLimitsVerb(CLI::App& control);
+    void addRolloutVerbs(CLI::App& control);
     void addCustomerVerbs(CLI::App& control);
     void addShowVerbs(CLI::App& control);
     void addServiceOption(CLI::App& verb);
@@ -54,6 +55,7 @@
     std::string priority;
     v1::Limits limits;
     v1::Customer customer;
+    v1::Rollout rollout;
     std::string customerName;
     ExitCode result = ExitCode::Success;
 };
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -156,6 +156,12 @@
     return this->node.showCrashingRequests(this->clock.now());
 }
 
+v1::ShowRolloutAnswer Instance::showRollout(const std::string& service) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->node.showRollout(service, this->clock.now());
+}
+
 v1::ShowCustomerAnswer Instance::showCustomer(const std::string& customer) const
 {
     const std::lock_guard lock(this->mutex);
--- /dev/null
+++ b/Source/Rollouts/FleetEvidence.cpp
@@ -0,0 +1,51 @@
+#include "Rollouts/FleetEvidence.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+namespace {
+
+double shareOfBad(const AnswerCounts& answers)
+{
+    return answers.all ? static_cast<double>(answers.bad) / static_cast<double>(answers.all) : 0;
+}
+
+bool isLess(const VersionCounts& left, const VersionCounts& right)
+{
+    return left.usual.all < right.usual.all || left.usual.bad < right.usual.bad || left.target.all < right.target.all
+        || left.target.bad < right.target.bad;
+}
+
+}
+
+void FleetEvidence::told(const std::string& instance, std::uint64_t life, const CountsByRoute& counts)
+{
+    CountsByRoute& before = this->byInstance[{ instance, life }];
+    for (const auto& [route, now] : counts) {
+        VersionCounts& known = before[route];
+        // Told on the way that was overtaken by a later one.
+        if (isLess(now, known))
+            continue;
+        this->add(route, now - known);
+        known = now;
+    }
+}
+
+void FleetEvidence::add(const std::string& route, const VersionCounts& more)
+{
+    Route& one = this->routes[route];
+    one.sum = one.sum + more;
+    this->sum = this->sum + more;
+    one.test.add(more.target, shareOfBad(one.sum.usual));
+    this->test.add(more.target, shareOfBad(this->sum.usual));
+}
+
+bool FleetEvidence::isBad() const
+{
+    return this->test.isBad() || std::any_of(this->routes.begin(), this->routes.end(), [](const auto& item) {
+        return item.second.test.isBad();
+    });
+}
+
+}
--- a/Source/Routing/RoutingPolicy.h
+++ b/Source/Routing/RoutingPolicy.h
@@ -14,6 +14,7 @@
     Milliseconds now;
     std::string_view dataCentre; // of the choosing instance
     Milliseconds expected; // time of such a request at a usual server; zero: not known
+    bool wantsTarget = false; // of a version that is tried
 };
 
 /** Chooses the backend server for a request among those that may take it. */
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -108,28 +108,32 @@
         server->setConnectionShare(this->connectionShare);
 }
 
-std::vector<BackendServerState*> ServicePool::filter(
-    std::span<const std::shared_ptr<BackendServerState>> without, bool withEjected, Milliseconds now) const
+std::vector<BackendServerState*> ServicePool::filter(const Sieve& sieve, Milliseconds now) const
 {
     std::vector<BackendServerState*> found;
     for (const auto& server : this->list) {
-        const bool isLeftOut = std::find(without.begin(), without.end(), server) != without.end();
+        if (!this->versions.allows(server->record().version, sieve.wantsTarget))
+            continue;
+        const bool isLeftOut = std::find(sieve.without.begin(), sieve.without.end(), server) != sieve.without.end();
         const bool isTaker = server->takesNewRequests() && !server->isPaused(now);
-        if (isTaker && !isLeftOut && (withEjected || !server->isEjected(now)))
+        if (isTaker && !isLeftOut && (sieve.withEjected || !server->isEjected(now)))
             found.push_back(server.get());
     }
     return found;
 }
 
-std::vector<BackendServerState*> ServicePool::takers(const ChoiceWish& wish, Milliseconds now) const
+std::vector<BackendServerState*> ServicePool::takers(const ChoiceWish& wish, const RoutingContext& context) const
 {
-    auto found = this->filter(wish.tried, false, now);
+    auto found = this->filter({ .without = wish.tried, .wantsTarget = context.wantsTarget }, context.now);
+    // A version that is tried has few servers: the other one takes what they cannot.
+    if (found.empty() && context.wantsTarget)
+        found = this->filter({ .without = wish.tried }, context.now);
     if (!found.empty() || wish.onlyUntried)
         return found;
     // Rather a tried or an ejected backend server than none.
-    found = this->filter({}, false, now);
+    found = this->filter({}, context.now);
     if (found.empty())
-        found = this->filter({}, true, now);
+        found = this->filter({ .withEjected = true }, context.now);
     return found;
 }
 
@@ -157,7 +161,7 @@
 
 Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
 {
-    auto takers = this->takers(wish, context.now);
+    auto takers = this->takers(wish, context);
     if (takers.empty())
         return { .server = nullptr, .reason = this->whyNobody(context.now) };
     std::erase_if(takers,
@@ -195,7 +199,7 @@
 std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthKnowing(
     std::size_t most, const RoutingContext& context, Random& random) const
 {
-    std::vector<BackendServerState*> takers = this->filter({}, false, context.now);
+    std::vector<BackendServerState*> takers = this->filter({ .wantsTarget = context.wantsTarget }, context.now);
     const PoolLoad pool = poolLoadOf(takers);
     constexpr double jitter = 0.3;
     std::vector<std::pair<double, const BackendServerState*>> ranked;
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Random.h"
+#include "Rollouts/VersionRule.h"
 #include "Routing/ColdStartShare.h"
 #include "Routing/CrowdingEstimate.h"
 #include "Routing/OutlierDetector.h"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <span>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace burlreach {
@@ -60,6 +62,8 @@
     /** True when it was there. */
     bool remove(std::string_view id);
     void setConnectionShare(std::size_t share);
+    void setVersionRule(VersionRule rule) { this->versions = std::move(rule); }
+    const VersionRule& versionRule() const { return this->versions; }
     void setColdShare(const ColdStartShare::Options& share) { this->coldShare.configure(share); }
     /** Some would take requests, but all these stand in emptied data centres. */
     bool isEmptied() const;
@@ -89,15 +93,22 @@
     bool isSilent(Milliseconds now) const;
     bool hasRoom(const BackendServerState& server, double requests, const ChoiceWish& wish, Milliseconds now) const;
     NoChoice whyNobody(Milliseconds now) const;
-    std::vector<BackendServerState*> takers(const ChoiceWish& wish, Milliseconds now) const;
-    std::vector<BackendServerState*> filter(
-        std::span<const std::shared_ptr<BackendServerState>> without, bool withEjected, Milliseconds now) const;
+    /** Which servers a filter leaves. */
+    struct Sieve {
+        std::span<const std::shared_ptr<BackendServerState>> without;
+        bool withEjected = false;
+        bool wantsTarget = false;
+    };
+
+    std::vector<BackendServerState*> takers(const ChoiceWish& wish, const RoutingContext& context) const;
+    std::vector<BackendServerState*> filter(const Sieve& sieve, Milliseconds now) const;
 
     Options options;
     std::unique_ptr<RoutingPolicy> policy;
     OutlierDetector outliers;
     CrowdingEstimate crowdingEstimate;
     ColdStartShare coldShare;
+    VersionRule versions;
     std::size_t connectionShare = 16;
     std::vector<std::shared_ptr<BackendServerState>> list;
 };
