--- /dev/null
+++ b/Source/Node/BeliefRecords.cpp
@@ -0,0 +1,35 @@
+#include "Node/BeliefRecords.h"
+
+#include "Quotas/GrantorTenure.h"
+
+#include <string>
+
+namespace burlreach {
+
+DecisionRecord recordOfGrantor(const StoreItem& item, FactSource source)
+{
+    const auto grantor = readGrantor(item.value);
+    return beliefOf("credit_grantor", grantor ? grantor->member().incarnation().name() : "nobody")
+        .with("released", grantor && grantor->released() ? "yes" : "no")
+        .with("revision", item.revision)
+        .with("heard_from", nameOf(source));
+}
+
+void addRecordsOfSplits(const RoutingConfiguration& configuration, std::size_t most, Actions& actions)
+{
+    std::size_t lines = 0;
+    for (const Route& route : configuration.routes) {
+        if (route.services.size() < 2 || ++lines > most)
+            continue;
+        std::string weights;
+        for (const WeightedService& part : route.services) {
+            weights += weights.empty() ? "" : " ";
+            weights += part.service;
+            weights += ':';
+            weights += std::to_string(part.weight);
+        }
+        actions.emplace_back(beliefOf("route_divided", route.name).with("weights", weights));
+    }
+}
+
+}
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -298,8 +298,7 @@
     const auto receivers = unpack(message.has_push() ? message.push().relay_to() : message.news().relay_to());
     if (receivers.empty())
         return;
-    peers::PeerMessage onward = message;
-    this->sendOver(branchesOf(receivers, this->options.tree.mostBranches), std::move(onward), actions);
+    this->sendOver(branchesOf(receivers, this->options.tree.mostBranches), message, actions);
 }
 
 void NewsExchange::sendOver(const std::vector<NewsBranch>& branches, peers::PeerMessage message, Actions& actions) const
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node/Node.h"
 
-#include "Routing/LoadAwarePolicy.h"
+#include "Node/BeliefRecords.h"
+#include "Node/NodeParts.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,80 +16,6 @@
 /** Of changes heard at once; of more, as in a first reading, one line tells how many backend servers came. */
 constexpr std::size_t MostLinesAtOnce = 50;
 
-class DefaultPolicyFactory final : public PolicyFactory {
-public:
-    std::unique_ptr<RoutingPolicy> create() const override { return std::make_unique<LoadAwarePolicy>(); }
-};
-
-std::shared_ptr<const PolicyFactory> policiesOf(const Node::Options& options)
-{
-    return options.policies ? options.policies : std::make_shared<DefaultPolicyFactory>();
-}
-
-peers::Member memberOf(const Node::Options& options)
-{
-    peers::Member member;
-    member.mutable_incarnation()->set_name(options.name);
-    member.mutable_incarnation()->set_number(options.incarnation);
-    member.set_address(options.peersAddress.host);
-    member.set_port(options.peersAddress.port);
-    member.set_data_centre(options.dataCentre);
-    member.set_capacity(options.capacity);
-    return member;
-}
-
-/**
- * All that begin together need not read the store at once, since those that
- * have read tell the others. Strong instances read first and tell quickly: with
- * a tenth of a processor within a second, a fifth 250 ms, a half 40 ms.
- */
-Milliseconds firstReadingSpread(std::uint32_t capacity)
-{
-    constexpr Milliseconds longest{ 1000 };
-    constexpr Milliseconds ofWholeProcessor{ 10 };
-    constexpr double percent = 100;
-    constexpr std::uint32_t usual = 20;
-    const double share = (capacity ? capacity : usual) / percent;
-    return std::min(longest, ofWholeProcessor * (1 / (share * share)));
-}
-
-StoreReader::Options readerOf(const Node::Options& options)
-{
-    StoreReader::Options reader = options.store;
-    reader.prefix = options.translator->watchedPrefix();
-    reader.firstReadingSpread = firstReadingSpread(options.capacity);
-    return reader;
-}
-
-RequestFlow::Options flowOf(const Node::Options& options)
-{
-    RequestFlow::Options flow = options.requests;
-    flow.dataCentre = options.dataCentre;
-    flow.search.dataCentre = options.dataCentre;
-    return flow;
-}
-
-std::string_view nameOf(BackendServerChange::Kind kind)
-{
-    switch (kind) {
-    case BackendServerChange::Kind::Added:
-        return "backend_server_added";
-    case BackendServerChange::Kind::Changed:
-        return "backend_server_changed";
-    case BackendServerChange::Kind::Restarted:
-        return "backend_server_restarted";
-    case BackendServerChange::Kind::Draining:
-        return "backend_server_draining";
-    case BackendServerChange::Kind::Lapsed:
-        return "backend_server_lapsed";
-    case BackendServerChange::Kind::Unusable:
-        return "backend_server_unusable";
-    case BackendServerChange::Kind::Gone:
-        return "backend_server_gone";
-    }
-    return "";
-}
-
 }
 
 Node::Node(const Options& givenOptions)
@@ -368,15 +295,6 @@
                              .with("revision", item.revision));
 }
 
-void Node::noteGrantor(const StoreItem& item, FactSource source, Actions& actions) const
-{
-    const auto grantor = readGrantor(item.value);
-    actions.emplace_back(beliefOf("credit_grantor", grantor ? grantor->member().incarnation().name() : "nobody")
-                             .with("released", grantor && grantor->released() ? "yes" : "no")
-                             .with("revision", item.revision)
-                             .with("heard_from", nameOf(source)));
-}
-
 void Node::noteWatching(Actions& actions)
 {
     if (this->store.isWatching() == this->wasWatching)
@@ -416,7 +334,7 @@
         if (item.key == CrashesKey)
             this->takeKeptCrashes(item, now, actions);
         else if (item.key == GrantorKey)
-            this->noteGrantor(item, source, actions);
+            actions.emplace_back(recordOfGrantor(item, source));
         else if (item.key.starts_with(RolloutPrefix))
             this->rollouts.stateChanged(item, now, actions);
         else if (item.value.size() < LargeValueBytes)
@@ -471,7 +389,7 @@
     this->decisionCounters.add(DecisionCount::ConfigurationsAdopted);
     if (isFirst || before != next.callerLimits)
         actions.emplace_back(SetCallerLimits{ .limits = next.callerLimits });
-    this->noteSplits(actions);
+    addRecordsOfSplits(next, MostLinesAtOnce, actions);
     actions.emplace_back(beliefOf("configuration_in_force", item.key)
                              .with("version", next.version)
                              .with("revision", item.revision)
@@ -482,19 +400,6 @@
                              .with("confirmed_age", (now - this->store.confirmedAt()).count));
 }
 
-void Node::noteSplits(Actions& actions)
-{
-    std::size_t lines = 0;
-    for (const Route& route : this->services.current().routes) {
-        if (route.services.size() < 2 || ++lines > MostLinesAtOnce)
-            continue;
-        std::string weights;
-        for (const WeightedService& part : route.services)
-            weights += (weights.empty() ? "" : " ") + part.service + ":" + std::to_string(part.weight);
-        actions.emplace_back(beliefOf("route_divided", route.name).with("weights", weights));
-    }
-}
-
 void Node::adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions)
 {
     for (const DataCentreOrder& order : this->services.setDataCentres(item.facts, now)) {
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -119,7 +119,6 @@
     /** Brings what an item says into force. */
     void adopt(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions);
-    void noteSplits(Actions& actions);
     void adoptBackendServers(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions);
     /** Does what follows from the change; gives its record. */
@@ -128,7 +127,6 @@
     /** Tells others and the store what was learned of requests that crash servers. */
     void passOnCrashes(Milliseconds now, Actions& actions);
     void takeKeptCrashes(const StoreItem& item, Milliseconds now, Actions& actions);
-    void noteGrantor(const StoreItem& item, FactSource source, Actions& actions) const;
     void noteStaleness(Milliseconds now, Actions& actions);
     void noteWatching(Actions& actions);
     /** Stops what is on its way to servers that were found to be leaving, and tells others. */
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -253,6 +253,8 @@
     actions.emplace_back(recordOfSent(request, *server,
         { .version = this->parts.services->version(), .confirmedAt = this->parts.store->confirmedAt() }, now));
     const bool isUnhindered = server->saidItIsWell(now);
+    const double taken = server->report().others + static_cast<double>(server->inFlight());
+    const bool hadRoom = taken < static_cast<double>(server->slots());
     request.service->pool.sent(*server, *this->parts.random, now);
     server->sent(attempt, now);
     actions.emplace_back(SendAttempt{ .request = request.number,
@@ -265,8 +267,11 @@
         .isKeyKept = request.identity.isKeyKept,
         .customer = request.identity.customer });
     request.tried.push_back(server);
-    request.flights.push_back(
-        { .attempt = attempt, .server = std::move(server), .sentAt = now, .isUnhindered = isUnhindered });
+    request.flights.push_back({ .attempt = attempt,
+        .server = std::move(server),
+        .sentAt = now,
+        .isUnhindered = isUnhindered,
+        .hadRoom = hadRoom });
 }
 
 std::shared_ptr<BackendServerState> RequestFlow::attemptEnded(
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -31,6 +31,7 @@
     std::shared_ptr<BackendServerState> server;
     Milliseconds sentAt;
     bool isUnhindered = false; // the server had said that it had room and was not slow
+    bool hadRoom = false; // as far as was known here, the server had a slot for it
 };
 
 /** A request from its arrival to its final answer. */
--- a/Source/Node/RolloutDesk.cpp
+++ b/Source/Node/RolloutDesk.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** An answer that takes longer than the expected time by this factor is bad, unless the server is cold. */
+/** An answer that takes longer than the expected time by this factor is bad. */
 constexpr double SlowFactor = 4;
 
 bool isJudged(const AttemptEnd& end)
@@ -17,12 +17,18 @@
     return end.result != AttemptResult::Cancelled && !isProvedNotRun(end.result);
 }
 
+/** A server that is cold or crowded may be slow with any version. */
+bool isOwnFault(const Flight& flight, Milliseconds now)
+{
+    return flight.hadRoom && !flight.server->isCold(now);
+}
+
 bool isBad(const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
 {
     if (end.result != AttemptResult::Answered)
         return true;
     const Milliseconds longest = request.service->expectedTime(*request.route) * SlowFactor;
-    return now - flight.sentAt > longest && !flight.server->isCold(now);
+    return now - flight.sentAt > longest && isOwnFault(flight, now);
 }
 
 }
@@ -155,7 +161,7 @@
 void RolloutDesk::overtaken(const RequestState& request, const Flight& flight, Milliseconds now)
 {
     // Else hedges would hide a version that is slow.
-    if (!flight.server->isCold(now))
+    if (isOwnFault(flight, now))
         this->count(request, flight, true, now);
 }
 
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -3,6 +3,7 @@
 #include "Attempts/RetryBudget.h"
 #include "Base/Random.h"
 #include "Configuration/FactTranslator.h"
+#include "Node/BackendServerChange.h"
 #include "Node/PolicyFactory.h"
 #include "Node/ServiceState.h"
 #include "Node/TranslatedItem.h"
@@ -21,22 +22,6 @@
 
 namespace burlreach {
 
-/** A life of a backend server that came, changed or went. */
-struct BackendServerChange {
-    enum class Kind {
-        Added,
-        Changed,
-        Restarted, // another life under the same id
-        Draining,
-        Lapsed, // its record is missing and may come back
-        Unusable, // its record cannot be read any more
-        Gone
-    };
-
-    Kind kind = Kind::Added;
-    BackendServerRecord record;
-};
-
 /** The routes, services and backend servers in force on this instance. */
 class ServiceTable {
 public:
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -53,9 +53,11 @@
     // Attempts at the earlier life end there and teach nothing of this one.
     if (known)
         this->remove(record.id);
-    this->list.push_back(std::make_shared<BackendServerState>(record, now));
-    this->list.back()->setConnectionShare(this->connectionShare);
-    return this->list.back();
+    auto added = std::make_shared<BackendServerState>(record, now);
+    added->setConnectionShare(this->connectionShare);
+    this->list.push_back(added);
+    this->byId.emplace(added->id(), added);
+    return added;
 }
 
 bool ServicePool::isEmptied() const
@@ -97,8 +99,13 @@
 
 bool ServicePool::remove(std::string_view id)
 {
-    this->coldShare.forget(std::string(id));
-    return std::erase_if(this->list, [id](const auto& server) { return server->id() == id; }) > 0;
+    const auto server = this->find(id);
+    if (!server)
+        return false;
+    this->coldShare.forget(server->id());
+    this->byId.erase(server->id());
+    std::erase(this->list, server);
+    return true;
 }
 
 void ServicePool::setConnectionShare(std::size_t share)
@@ -230,9 +237,8 @@
 
 std::shared_ptr<BackendServerState> ServicePool::find(std::string_view id) const
 {
-    const auto found
-        = std::find_if(this->list.begin(), this->list.end(), [id](const auto& server) { return server->id() == id; });
-    return found == this->list.end() ? nullptr : *found;
+    const auto found = this->byId.find(id);
+    return found == this->byId.end() ? nullptr : found->second;
 }
 
 double ServicePool::slots() const
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -8,9 +8,12 @@
 #include "Routing/RoutingPolicy.h"
 
 #include <cstddef>
+#include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -111,6 +114,7 @@
     VersionRule versions;
     std::size_t connectionShare = 16;
     std::vector<std::shared_ptr<BackendServerState>> list;
+    std::map<std::string, std::shared_ptr<BackendServerState>, std::less<>> byId; // the same
 };
 
 }
