--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -1,6 +1,7 @@
 #include "Node/NewsExchange.h"
 
 #include "Node/NewsRecords.h"
+#include "Node/PeerEnvelope.h"
 
 #include <algorithm>
 #include <cmath>
@@ -72,9 +73,7 @@
 
 void NewsExchange::send(const NetworkAddress& address, peers::PeerMessage message, Actions& actions) const
 {
-    message.set_version(PeerProtocolVersion);
-    *message.mutable_from() = this->options.self.incarnation();
-    actions.emplace_back(SendToPeer{ .address = address, .message = std::move(message) });
+    actions.emplace_back(addressedTo(address, this->options.self.incarnation(), std::move(message)));
 }
 
 void NewsExchange::answer(const peers::Incarnation& asker, const peers::PeerMessage& message, Actions& actions) const
@@ -96,6 +95,7 @@
         this->helloReceived(message.hello(), now, actions);
         this->parts.crashes->receive(message.hello().crashes(), this->parts.store->isWatching(), now, actions);
         this->parts.signs->receive(message.hello().leaving_signs(), now);
+        this->parts.rollouts->receive(message.from(), message.hello().rollouts(), now);
         break;
     case peers::PeerMessage::kNews:
         this->newsReceived(message, now, actions);
@@ -125,7 +125,7 @@
     case peers::PeerMessage::kMembersPush:
         this->membersReceived(message.members_push(), now, actions);
         break;
-    case peers::PeerMessage::BODY_NOT_SET:
+    default: // of other parts, or empty
         this->parts.counters->add(DecisionCount::PeerMessagesRefused);
         break;
     }
@@ -298,8 +298,7 @@
     const auto receivers = unpack(message.has_push() ? message.push().relay_to() : message.news().relay_to());
     if (receivers.empty())
         return;
-    peers::PeerMessage onward = message;
-    this->sendOver(branchesOf(receivers, this->options.tree.mostBranches), std::move(onward), actions);
+    this->sendOver(branchesOf(receivers, this->options.tree.mostBranches), message, actions);
 }
 
 void NewsExchange::sendOver(const std::vector<NewsBranch>& branches, peers::PeerMessage message, Actions& actions) const
@@ -333,6 +332,7 @@
     hello->set_store_revision(this->parts.store->view().revision());
     this->parts.signs->fill(*hello->mutable_leaving_signs(), now);
     this->parts.crashes->fillWithOwn(*hello->mutable_crashes(), now);
+    this->parts.rollouts->fill(*hello->mutable_rollouts());
     return message;
 }
 
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node/Node.h"
 
-#include "Routing/LoadAwarePolicy.h"
+#include "Node/BeliefRecords.h"
+#include "Node/NodeParts.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,80 +16,6 @@
 /** Of changes heard at once; of more, as in a first reading, one line tells how many backend servers came. */
 constexpr std::size_t MostLinesAtOnce = 50;
 
-class DefaultPolicyFactory final : public PolicyFactory {
-public:
-    std::unique_ptr<RoutingPolicy> create() const override { return std::make_unique<LoadAwarePolicy>(); }
-};
-
-std::shared_ptr<const PolicyFactory> policiesOf(const Node::Options& options)
-{
-    return options.policies ? options.policies : std::make_shared<DefaultPolicyFactory>();
-}
-
-peers::Member memberOf(const Node::Options& options)
-{
-    peers::Member member;
-    member.mutable_incarnation()->set_name(options.name);
-    member.mutable_incarnation()->set_number(options.incarnation);
-    member.set_address(options.peersAddress.host);
-    member.set_port(options.peersAddress.port);
-    member.set_data_centre(options.dataCentre);
-    member.set_capacity(options.capacity);
-    return member;
-}
-
-/**
- * All that begin together need not read the store at once, since those that
- * have read tell the others. Strong instances read first and tell quickly: with
- * a tenth of a processor within a second, a fifth 250 ms, a half 40 ms.
- */
-Milliseconds firstReadingSpread(std::uint32_t capacity)
-{
-    constexpr Milliseconds longest{ 1000 };
-    constexpr Milliseconds ofWholeProcessor{ 10 };
-    constexpr double percent = 100;
-    constexpr std::uint32_t usual = 20;
-    const double share = (capacity ? capacity : usual) / percent;
-    return std::min(longest, ofWholeProcessor * (1 / (share * share)));
-}
-
-StoreReader::Options readerOf(const Node::Options& options)
-{
-    StoreReader::Options reader = options.store;
-    reader.prefix = options.translator->watchedPrefix();
-    reader.firstReadingSpread = firstReadingSpread(options.capacity);
-    return reader;
-}
-
-RequestFlow::Options flowOf(const Node::Options& options)
-{
-    RequestFlow::Options flow = options.requests;
-    flow.dataCentre = options.dataCentre;
-    flow.search.dataCentre = options.dataCentre;
-    return flow;
-}
-
-std::string_view nameOf(BackendServerChange::Kind kind)
-{
-    switch (kind) {
-    case BackendServerChange::Kind::Added:
-        return "backend_server_added";
-    case BackendServerChange::Kind::Changed:
-        return "backend_server_changed";
-    case BackendServerChange::Kind::Restarted:
-        return "backend_server_restarted";
-    case BackendServerChange::Kind::Draining:
-        return "backend_server_draining";
-    case BackendServerChange::Kind::Lapsed:
-        return "backend_server_lapsed";
-    case BackendServerChange::Kind::Unusable:
-        return "backend_server_unusable";
-    case BackendServerChange::Kind::Gone:
-        return "backend_server_gone";
-    }
-    return "";
-}
-
 }
 
 Node::Node(const Options& givenOptions)
@@ -109,8 +36,23 @@
           { .store = &this->store,
               .signs = &this->signs,
               .crashes = &this->crashes,
+              .rollouts = &this->rollouts,
+              .random = &this->random,
+              .counters = &this->decisionCounters })
+    , quotas({ .self = memberOf(givenOptions), .bound = givenOptions.quotas },
+          { .services = &this->services,
+              .store = &this->store,
+              .news = &this->news,
+              .storeCalls = &this->storeCalls,
               .random = &this->random,
               .counters = &this->decisionCounters })
+    , rollouts({ .self = memberOf(givenOptions).incarnation() },
+          { .services = &this->services,
+              .store = &this->store,
+              .news = &this->news,
+              .translator = givenOptions.translator.get(),
+              .storeCalls = &this->storeCalls,
+              .random = &this->random })
     , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre }, this->random)
     , flow(flowOf(givenOptions),
           { .services = &this->services,
@@ -118,7 +60,9 @@
               .random = &this->random,
               .counters = &this->decisionCounters,
               .store = &this->store,
-              .crashes = &this->crashes })
+              .crashes = &this->crashes,
+              .quotas = &this->quotas,
+              .rollouts = &this->rollouts })
     , changes(
           { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
@@ -129,6 +73,10 @@
     std::visit([&](const auto& item) { this->dispatch(item, now, actions); }, event);
     this->passOnLeaving(now, actions);
     this->passOnCrashes(now, actions);
+    if (now >= this->rollouts.nextTelling()) {
+        this->rollouts.told();
+        this->news.tellWatchers(now, actions);
+    }
     for (AnswerChange& answer : this->changeAnswers)
         actions.emplace_back(std::move(answer));
     this->changeAnswers.clear();
@@ -223,15 +171,31 @@
 
 void Node::dispatch(const PeerMessageArrived& event, Milliseconds now, Actions& actions)
 {
+    if (event.message.has_credit_ask() || event.message.has_credit_answer()) {
+        this->quotas.receive(event.message, now, actions);
+        return this->flow.creditDecided(now, actions);
+    }
     this->news.receive(event.message, now, actions);
     this->askStore(now, actions);
 }
 
+StoreAnswer Node::withoutSecrets(const StoreAnswer& answer) const
+{
+    StoreAnswer cleared = answer;
+    for (StoreItem& item : cleared.items) {
+        if (auto value = this->options.translator->withoutSecrets(item))
+            item.value = std::move(*value);
+    }
+    return cleared;
+}
+
 void Node::dispatch(const StoreAnswered& event, Milliseconds now, Actions& actions)
 {
-    const bool isForWriters
-        = this->changes.answered(event.answer, now) || this->crashRecorder.answered(event.answer, now);
-    if (!isForWriters && this->store.answered(event.answer, now, actions) && this->store.isWatching())
+    const bool isForWriters = this->changes.answered(event.answer, now)
+        || this->crashRecorder.answered(event.answer, now) || this->quotas.answered(event.answer, now)
+        || this->rollouts.answered(event.answer, now);
+    if (!isForWriters && this->store.answered(this->withoutSecrets(event.answer), now, actions)
+        && this->store.isWatching())
         this->news.spread(now, actions);
     if (this->store.hasFailed())
         this->news.askedInVain();
@@ -240,6 +204,10 @@
         this->store.takeWritten(*written, now, actions);
     if (const auto written = this->crashRecorder.takeWritten())
         this->store.takeWritten(*written, now, actions);
+    if (const auto written = this->quotas.takeWritten())
+        this->store.takeWritten(*written, now, actions);
+    if (const auto written = this->rollouts.takeWritten())
+        this->store.takeWritten(*written, now, actions);
     this->askStore(now, actions);
 }
 
@@ -259,10 +227,11 @@
     this->news.askMembers(event.call, now, actions);
 }
 
-void Node::dispatch(const StopAsked&, Milliseconds, Actions&)
+void Node::dispatch(const StopAsked&, Milliseconds now, Actions& actions)
 {
     // What still runs here must not act on old knowledge: all else goes on.
     this->stopping = true;
+    this->askStore(now, actions);
 }
 
 void Node::dispatch(const RequestTimer&, Milliseconds now, Actions& actions)
@@ -279,6 +248,7 @@
     const std::size_t members = this->news.instances(now);
     this->fleetSize.counted(members, now);
     this->services.setInstances({ .known = members, .atLeast = this->fleetSize.atLeast(now) });
+    this->quotas.setInstances(this->fleetSize.atLeast(now));
     this->probes.setFleet(members, this->services.dataCentres());
     this->askStore(now, actions);
     this->noteStaleness(now, actions);
@@ -289,6 +259,10 @@
     this->store.ask(this->news.shouldWatch(now), now, actions);
     while (auto request = this->changes.next(now))
         actions.emplace_back(AskStore{ .request = std::move(*request) });
+    if (auto request = this->quotas.nextCall(this->stopping, now))
+        actions.emplace_back(AskStore{ .request = std::move(*request) });
+    if (auto request = this->rollouts.nextCall(now))
+        actions.emplace_back(AskStore{ .request = std::move(*request) });
     this->noteWatching(actions);
 }
 
@@ -345,8 +319,9 @@
 
 Milliseconds Node::nextControlDue() const
 {
-    Milliseconds due = std::min({ this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(),
-        this->crashes.nextDue(), this->crashRecorder.nextDue() });
+    Milliseconds due = std::min(
+        { this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(), this->crashes.nextDue(),
+            this->crashRecorder.nextDue(), this->quotas.nextControlDue(), this->rollouts.nextDue() });
     if (this->store.isWatching() || !this->store.view().revision())
         due = std::min(due, this->store.nextAt());
     return due;
@@ -358,6 +333,10 @@
     for (const StoreItem& item : items) {
         if (item.key == CrashesKey)
             this->takeKeptCrashes(item, now, actions);
+        else if (item.key == GrantorKey)
+            actions.emplace_back(recordOfGrantor(item, source));
+        else if (item.key.starts_with(RolloutPrefix))
+            this->rollouts.stateChanged(item, now, actions);
         else if (item.value.size() < LargeValueBytes)
             this->adopt(*translateItem(*this->options.translator, item, source), now, actions);
         else
@@ -396,6 +375,8 @@
         return;
     this->adoptDataCentres(item, now, actions);
     this->adoptBackendServers(item, now, actions);
+    this->rollouts.ordered(item.facts, now, actions);
+    this->rollouts.apply();
 }
 
 void Node::adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions)
@@ -408,6 +389,7 @@
     this->decisionCounters.add(DecisionCount::ConfigurationsAdopted);
     if (isFirst || before != next.callerLimits)
         actions.emplace_back(SetCallerLimits{ .limits = next.callerLimits });
+    addRecordsOfSplits(next, MostLinesAtOnce, actions);
     actions.emplace_back(beliefOf("configuration_in_force", item.key)
                              .with("version", next.version)
                              .with("revision", item.revision)
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -13,7 +13,9 @@
 #include "Node/LoadView.h"
 #include "Node/NewsExchange.h"
 #include "Node/PolicyFactory.h"
+#include "Node/QuotaDesk.h"
 #include "Node/RequestFlow.h"
+#include "Node/RolloutDesk.h"
 #include "Node/ServerPauses.h"
 #include "Node/ServiceTable.h"
 #include "Node/StoreKeeper.h"
@@ -44,6 +46,7 @@
         std::uint64_t seed = 0;
         std::vector<NetworkAddress> seeds; // instances to begin with
         RetryLimits retries;
+        QuotaBound quotas;
         double probesPerSecond = 30; // of one backend server, all instances together
         StoreReader::Options store; // the prefix comes from the translator
         std::string changeKey; // of the document that operators' calls change; empty: they may not
@@ -76,6 +79,16 @@
         return loadView(this->services, service, now);
     }
     v1::ShowCrashingRequestsAnswer showCrashingRequests(Milliseconds now) const { return this->crashes.show(now); }
+    v1::ShowCustomerAnswer showCustomer(const std::string& customer, Milliseconds now) const
+    {
+        return this->quotas.show(customer, now);
+    }
+    v1::ShowRolloutAnswer showRollout(const std::string& service, Milliseconds now) const
+    {
+        return this->rollouts.show(service, now);
+    }
+    /** How much credit for customers' requests this instance grants. */
+    GrantMode grantMode(Milliseconds now) const { return this->quotas.mode(now); }
     /** Requests under which servers ended. */
     std::size_t suspectedRequests() const { return this->crashes.size(); }
 
@@ -101,6 +114,8 @@
     void itemsChanged(
         std::span<const StoreItem> changes, FactSource source, Milliseconds now, Actions& actions) override;
     void changeAnswered(OperatorCallNumber call, const v1::ChangeAnswer& answer) override;
+    /** The answer as it may be kept here and passed on. */
+    StoreAnswer withoutSecrets(const StoreAnswer& answer) const;
     /** Brings what an item says into force. */
     void adopt(const TranslatedItem& item, Milliseconds now, Actions& actions);
     void adoptRouting(const TranslatedItem& item, Milliseconds now, Actions& actions);
@@ -131,6 +146,8 @@
     CrashRecorder crashRecorder;
     StoreKeeper store;
     NewsExchange news;
+    QuotaDesk quotas;
+    RolloutDesk rollouts;
     FleetSize fleetSize;
     ProbeDesk probes;
     RequestFlow flow;
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -3,6 +3,7 @@
 #include "Attempts/RetryBudget.h"
 #include "Base/Random.h"
 #include "Configuration/FactTranslator.h"
+#include "Node/BackendServerChange.h"
 #include "Node/PolicyFactory.h"
 #include "Node/ServiceState.h"
 #include "Node/TranslatedItem.h"
@@ -21,22 +22,6 @@
 
 namespace burlreach {
 
-/** A life of a backend server that came, changed or went. */
-struct BackendServerChange {
-    enum class Kind {
-        Added,
-        Changed,
-        Restarted, // another life under the same id
-        Draining,
-        Lapsed, // its record is missing and may come back
-        Unusable, // its record cannot be read any more
-        Gone
-    };
-
-    Kind kind = Kind::Added;
-    BackendServerRecord record;
-};
-
 /** The routes, services and backend servers in force on this instance. */
 class ServiceTable {
 public:
@@ -63,6 +48,10 @@
     bool isConfigured() const { return this->configured; }
     std::uint64_t version() const { return this->current().version; }
     const RoutingConfiguration& current() const { return this->routing->configuration; }
+    const CustomerTable& customers() const { return this->routing->customers; }
+    bool hasLimitedCustomers() const { return this->hasLimits; }
+    /** Of the configuration in force on this instance; another one has a higher number. */
+    std::uint64_t routingNumber() const { return this->routingCount; }
     std::shared_ptr<const Route> route(std::string_view host, std::string_view method, std::string_view path) const;
     /** The service that the next request of the route goes to; null when the route names an unknown one. */
     std::shared_ptr<ServiceState> serviceFor(const Route& route);
@@ -79,7 +68,7 @@
     std::span<const std::shared_ptr<ServiceState>> all() const { return this->services; }
 
 private:
-    /** Those of routes that are no longer there. */
+    /** Those of routes that are no longer there or are divided otherwise: what was owed before counts no more. */
     void forgetTurns();
     void put(const BackendServerRecord& record, Milliseconds now, std::vector<BackendServerChange>& changes);
     /** Adds the record to its service's pool, as its data centre is to be used. */
@@ -93,6 +82,8 @@
     Random* random;
     FleetCount instances;
     bool configured = false;
+    bool hasLimits = false; // of customers
+    std::uint64_t routingCount = 0;
     std::shared_ptr<const PreparedRouting> routing; // never null
     std::vector<std::shared_ptr<ServiceState>> services;
     std::unordered_map<std::string, std::shared_ptr<ServiceState>> byNames;
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -53,9 +53,11 @@
     // Attempts at the earlier life end there and teach nothing of this one.
     if (known)
         this->remove(record.id);
-    this->list.push_back(std::make_shared<BackendServerState>(record, now));
-    this->list.back()->setConnectionShare(this->connectionShare);
-    return this->list.back();
+    auto added = std::make_shared<BackendServerState>(record, now);
+    added->setConnectionShare(this->connectionShare);
+    this->list.push_back(added);
+    this->byId.emplace(added->id(), added);
+    return added;
 }
 
 bool ServicePool::isEmptied() const
@@ -97,8 +99,13 @@
 
 bool ServicePool::remove(std::string_view id)
 {
-    this->coldShare.forget(std::string(id));
-    return std::erase_if(this->list, [id](const auto& server) { return server->id() == id; }) > 0;
+    const auto server = this->find(id);
+    if (!server)
+        return false;
+    this->coldShare.forget(server->id());
+    this->byId.erase(server->id());
+    std::erase(this->list, server);
+    return true;
 }
 
 void ServicePool::setConnectionShare(std::size_t share)
@@ -108,28 +115,32 @@
         server->setConnectionShare(this->connectionShare);
 }
 
-std::vector<BackendServerState*> ServicePool::filter(
-    std::span<const std::shared_ptr<BackendServerState>> without, bool withEjected, Milliseconds now) const
+std::vector<BackendServerState*> ServicePool::filter(const Sieve& sieve, Milliseconds now) const
 {
     std::vector<BackendServerState*> found;
     for (const auto& server : this->list) {
-        const bool isLeftOut = std::find(without.begin(), without.end(), server) != without.end();
+        if (!this->versions.allows(server->record().version, sieve.wantsTarget))
+            continue;
+        const bool isLeftOut = std::find(sieve.without.begin(), sieve.without.end(), server) != sieve.without.end();
         const bool isTaker = server->takesNewRequests() && !server->isPaused(now);
-        if (isTaker && !isLeftOut && (withEjected || !server->isEjected(now)))
+        if (isTaker && !isLeftOut && (sieve.withEjected || !server->isEjected(now)))
             found.push_back(server.get());
     }
     return found;
 }
 
-std::vector<BackendServerState*> ServicePool::takers(const ChoiceWish& wish, Milliseconds now) const
+std::vector<BackendServerState*> ServicePool::takers(const ChoiceWish& wish, const RoutingContext& context) const
 {
-    auto found = this->filter(wish.tried, false, now);
+    auto found = this->filter({ .without = wish.tried, .wantsTarget = context.wantsTarget }, context.now);
+    // A version that is tried has few servers: the other one takes what they cannot.
+    if (found.empty() && context.wantsTarget)
+        found = this->filter({ .without = wish.tried }, context.now);
     if (!found.empty() || wish.onlyUntried)
         return found;
     // Rather a tried or an ejected backend server than none.
-    found = this->filter({}, false, now);
+    found = this->filter({}, context.now);
     if (found.empty())
-        found = this->filter({}, true, now);
+        found = this->filter({ .withEjected = true }, context.now);
     return found;
 }
 
@@ -157,7 +168,7 @@
 
 Choice ServicePool::choose(const ChoiceWish& wish, const RoutingContext& context, Random& random)
 {
-    auto takers = this->takers(wish, context.now);
+    auto takers = this->takers(wish, context);
     if (takers.empty())
         return { .server = nullptr, .reason = this->whyNobody(context.now) };
     std::erase_if(takers,
@@ -195,7 +206,7 @@
 std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthKnowing(
     std::size_t most, const RoutingContext& context, Random& random) const
 {
-    std::vector<BackendServerState*> takers = this->filter({}, false, context.now);
+    std::vector<BackendServerState*> takers = this->filter({ .wantsTarget = context.wantsTarget }, context.now);
     const PoolLoad pool = poolLoadOf(takers);
     constexpr double jitter = 0.3;
     std::vector<std::pair<double, const BackendServerState*>> ranked;
@@ -226,9 +237,8 @@
 
 std::shared_ptr<BackendServerState> ServicePool::find(std::string_view id) const
 {
-    const auto found
-        = std::find_if(this->list.begin(), this->list.end(), [id](const auto& server) { return server->id() == id; });
-    return found == this->list.end() ? nullptr : *found;
+    const auto found = this->byId.find(id);
+    return found == this->byId.end() ? nullptr : found->second;
 }
 
 double ServicePool::slots() const
