--- a/Source/Configuration/ChangeApplier.cpp
+++ b/Source/Configuration/ChangeApplier.cpp
@@ -248,9 +248,8 @@
 {
     if (!this->findService(change.rollout().service()))
         return;
-    if (change.rollout().target_version().empty())
-        this->result.findings.add(
-            "/rollout/target_version", "is empty; write the version as its backend servers name it");
+    if (change.rollout().new_version().empty())
+        this->result.findings.add("/rollout/new_version", "is empty; write the version as its backend servers name it");
     if (!change.rollout().duration_milliseconds())
         this->result.findings.add("/rollout/duration_milliseconds", "is 0; write by when it should be done");
     auto& rollouts = *this->result.configuration.mutable_rollouts();
--- a/Source/Configuration/OwnFactTranslator.cpp
+++ b/Source/Configuration/OwnFactTranslator.cpp
@@ -131,7 +131,7 @@
     facts.areAllRollouts = true;
     for (const v1::Rollout& rollout : configuration.rollouts())
         facts.rollouts.push_back({ .service = rollout.service(),
-            .targetVersion = rollout.target_version(),
+            .targetVersion = rollout.new_version(),
             .duration = { static_cast<double>(rollout.duration_milliseconds()) },
             .number = rollout.begun_at_revision() });
     for (const v1::Customer& customer : configuration.customers())
--- a/Source/Node/RolloutDesk.cpp
+++ b/Source/Node/RolloutDesk.cpp
@@ -51,10 +51,11 @@
         this->order(order, now, actions);
     if (!facts.areAllRollouts)
         return;
-    for (auto& [service, rollout] : this->rollouts) {
+    for (auto& item : this->rollouts) {
         const bool isNamed = std::any_of(facts.rollouts.begin(), facts.rollouts.end(),
-            [&](const RolloutOrder& order) { return order.service == service; });
-        rollout.order.isWithdrawn = rollout.order.isWithdrawn || !isNamed;
+            [&](const RolloutOrder& order) { return order.service == item.first; });
+        RolloutOrder& order = item.second.order;
+        order.isWithdrawn = order.isWithdrawn || !isNamed;
     }
     this->apply();
 }
@@ -72,7 +73,7 @@
     }
     rollout.order = order;
     actions.emplace_back(beliefOf(order.isWithdrawn ? "rollout_withdrawn" : "rollout_ordered", order.service)
-                             .with("target_version", order.targetVersion)
+                             .with("new_version", order.targetVersion)
                              .with("duration", order.duration.count)
                              .with("order", order.number));
     this->apply();
@@ -91,7 +92,7 @@
         return;
     actions.emplace_back(
         beliefOf("rollout_state", service)
-            .with("target_version", rollout.state->targetVersion)
+            .with("new_version", rollout.state->targetVersion)
             .with("phase", rollout.state->phase == RolloutPhase::Moved ? "moved" : nameOf(rollout.state->phase))
             .with("share", rollout.state->share)
             .with("elapsed", rollout.state->elapsed.count)
@@ -253,7 +254,7 @@
             total = total + counts;
     }
     answer.set_service(service);
-    answer.set_target_version(rollout.order.targetVersion);
+    answer.set_new_version(rollout.order.targetVersion);
     answer.set_state(rollout.hasState() ? std::string(nameOf(rollout.state->phase)) : "ordered");
     answer.set_share(rollout.hasState() ? rollout.state->share : 0);
     answer.set_elapsed_milliseconds(static_cast<std::uint32_t>(std::max(0.0, rollout.elapsed(now).count)));
--- a/Source/Program/ControlCommand.cpp
+++ b/Source/Program/ControlCommand.cpp
@@ -299,7 +299,7 @@
         });
     this->addServiceOption(*begin);
     addTextField(
-        *begin, "--target-version", [this](const std::string& value) { this->rollout.set_target_version(value); },
+        *begin, "--new-version", [this](const std::string& value) { this->rollout.set_new_version(value); },
         "Version as its backend servers name it")
         ->required();
     addField<std::uint32_t>(*begin, "--duration-milliseconds", this->rollout, &v1::Rollout::set_duration_milliseconds,
--- a/Source/Rollouts/RolloutState.cpp
+++ b/Source/Rollouts/RolloutState.cpp
@@ -14,7 +14,7 @@
 std::string writeRolloutState(const RolloutState& state)
 {
     peers::RolloutState message;
-    message.set_target_version(state.targetVersion);
+    message.set_new_version(state.targetVersion);
     message.set_order(state.order);
     message.set_phase(static_cast<std::uint32_t>(state.phase));
     message.set_share_per_mille(static_cast<std::uint32_t>(state.share * PerMille));
@@ -34,7 +34,7 @@
     if (!isRead || message.phase() > static_cast<std::uint32_t>(RolloutPhase::RolledBack))
         return std::nullopt;
     RolloutState state;
-    state.targetVersion = message.target_version();
+    state.targetVersion = message.new_version();
     state.order = message.order();
     state.phase = static_cast<RolloutPhase>(message.phase());
     state.share = std::min(1.0, message.share_per_mille() / PerMille);
--- a/Tests/Customers/CustomerTableTest.cpp
+++ b/Tests/Customers/CustomerTableTest.cpp
@@ -57,8 +57,10 @@
 TEST(CustomerTable, FindsAmongHundredThousandKeys)
 {
     std::vector<Customer> customers;
+    customers.reserve(4000);
     for (int index = 0; index < 4000; ++index) {
         std::vector<std::string> keys;
+        keys.reserve(25);
         for (int key = 0; key < 25; ++key)
             keys.push_back(std::to_string(index) + "/" + std::to_string(key));
         customers.push_back(customer("c" + std::to_string(index), keys));
--- a/Tests/Node/CustomerKeysTest.cpp
+++ b/Tests/Node/CustomerKeysTest.cpp
@@ -142,8 +142,10 @@
     KeyedFleet keyed({ 900 });
     VirtualRequest request;
     request.key = "alpha";
+    constexpr std::size_t requests = 60;
     std::vector<std::uint64_t> numbers;
-    for (int count = 0; count < 60; ++count)
+    numbers.reserve(requests);
+    for (std::size_t count = 0; count < requests; ++count)
         numbers.push_back(keyed.fleet.send(0, request));
     keyed.fleet.run({ 100 });
     keyed.write({ customerWith("other", { "beta" }) });
--- a/Tests/Node/RolloutTest.cpp
+++ b/Tests/Node/RolloutTest.cpp
@@ -128,7 +128,7 @@
         }
         v1::Rollout* rollout = made.add_rollouts();
         rollout->set_service("bookings");
-        rollout->set_target_version("v2");
+        rollout->set_new_version("v2");
         rollout->set_duration_milliseconds(static_cast<std::uint32_t>(Duration.count));
         rollout->set_begun_at_revision(this->revision);
         return made;
--- a/Tests/Rollouts/PageTestTest.cpp
+++ b/Tests/Rollouts/PageTestTest.cpp
@@ -81,7 +81,7 @@
 {
     FleetEvidence evidence;
     CountsByRoute counts;
-    for (unsigned round = 1; round <= 20; ++round) {
+    for (std::uint64_t round = 1; round <= 20; ++round) {
         counts["busy"] = { .usual = { .all = 4000 * round, .bad = 0 }, .target = { .all = 200 * round, .bad = 0 } };
         counts["quiet"] = { .usual = { .all = 40 * round, .bad = 0 }, .target = { .all = 2 * round, .bad = round } };
         evidence.told("entry-1", 1, counts);
