The granting instance stays named while it lives, whoever leads the watchers

Cause: the granting instance had not led the watchers for 4 s and gave its place up; its successor was named 12 ms before the store went away, and nobody else heard of it. A change of hands buys nothing: proofs are calls of the granting instance itself. Change: it gives its place up only when it is about to stop or no customer has a limit; another one takes over only when it is lost or silent. Tests: GrantorTenure, CustomerQuota, CustomerCredit, CustomerKeys passed.

--- a/Source/Quotas/GrantorTenure.cpp
+++ b/Source/Quotas/GrantorTenure.cpp
@@ -74,7 +74,6 @@
 {
     this->hasGivenUp = false;
     this->nextProof = now;
-    this->ledAt = now;
     const bool isFree = this->before == Predecessor::Nobody || this->before == Predecessor::Gone;
     // Its last proof is older than this instance's write.
     this->halfFrom = isFree ? now : now + this->options.fullFor * ClockMargin;
@@ -116,13 +115,10 @@
     if (isLaterLife)
         return Predecessor::Gone;
     const bool isAlive = heard && now - heard->at < this->options.lostAfter && !around.isSilent;
-    // One that is there gives it up when another one leads, unless it cannot write to the store.
-    const Milliseconds passedOver = now - std::max(this->leadsSince, this->namedSince);
-    const bool isStuck = around.leads && passedOver > this->options.replacedAfter;
     // Who has begun to watch just now has not been told of all others, and some are told of few only.
     const Milliseconds since = std::max(this->namedSince, this->watchingSince);
     const bool isLost = !isAlive && (heard || around.leads) && now - since > this->options.lostAfter;
-    return isLost || isStuck ? Predecessor::Uncertain : Predecessor::Present;
+    return isLost ? Predecessor::Uncertain : Predecessor::Present;
 }
 
 StoreRequest GrantorTenure::write(const StoreItem* stored, bool isReleased, Milliseconds now)
@@ -158,8 +154,7 @@
 
 std::optional<StoreRequest> GrantorTenure::keep(const Surroundings& around, Milliseconds now)
 {
-    const bool isOver = !around.isNeeded || now - this->ledAt > this->options.givenUpAfter;
-    if (isOver && !this->pending && now >= this->pausedUntil) {
+    if (!around.isNeeded && !this->pending && now >= this->pausedUntil) {
         this->hasGivenUp = true;
         return this->write(around.stored, true, now);
     }
@@ -191,10 +186,6 @@
     this->look(around.stored, now);
     if (!around.isWatching)
         this->watchingSince = now;
-    if (around.leads)
-        this->ledAt = now;
-    else
-        this->leadsSince = now;
     this->lookAgainAt = this->pausedUntil > now ? this->pausedUntil : Never;
     return this->isNamed() && !this->hasGivenUp ? this->keep(around, now) : this->replace(around, now);
 }
--- a/Source/Quotas/GrantorTenure.h
+++ b/Source/Quotas/GrantorTenure.h
@@ -32,8 +32,9 @@
  * replace each other unseen. The named one grants while the store has lately
  * proved that it still is; longer without a proof it grants half. Whoever takes
  * its place waits until that is over, or begins at once when the one before has
- * given it up or its process has certainly ended. The leading watcher is to be
- * named; any watcher replaces one that is lost.
+ * given it up or its process has certainly ended. The leading watcher is named
+ * first and stays so while it lives, whoever leads: each change of hands could
+ * meet an outage of the store. Any watcher replaces one that is lost.
  */
 class GrantorTenure {
 public:
@@ -44,9 +45,7 @@
         /** Longer than most outages of the store: without it all customers would be refused while it is away. */
         Milliseconds halfFor{ 10000 };
         Milliseconds lostAfter{ 1800 }; // an instance not heard for longer; watchers speak every 1.3 s
-        Milliseconds replacedAfter{ 12000 }; // one that is heard and neither leads nor gives it up
         Milliseconds leaderFirst{ 250 }; // then any watcher takes a free place: the leading one may be about to stop
-        Milliseconds givenUpAfter{ 4000 }; // by one that does not lead any more
         Milliseconds answerTimeout{ 1500 };
     };
 
@@ -123,8 +122,6 @@
     Milliseconds proofAskedAt = LongAgo;
     Milliseconds nextProof = LongAgo;
     Milliseconds watchingSince = LongAgo;
-    Milliseconds ledAt = LongAgo; // this instance led the watchers
-    Milliseconds leadsSince = LongAgo; // it has led them without a break since then
     std::string value; // being written
     std::optional<StoreItem> written;
     bool hasGivenUp = false; // nothing more is granted under the item that is there
