--- /dev/null
+++ b/Source/Limits/LimitBook.cpp
@@ -0,0 +1,88 @@
+#include "Limits/LimitBook.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+LimitBook::LimitBook(Options givenOptions)
+    : options(givenOptions)
+{
+}
+
+LimitChange LimitBook::heard(
+    const std::string& backendServer, std::uint64_t life, double perSecond, Milliseconds sentAt, Milliseconds now)
+{
+    return this->take(backendServer, { .life = life, .perSecond = perSecond, .at = now }, sentAt);
+}
+
+LimitChange LimitBook::answered(const std::string& backendServer, std::uint64_t life, Milliseconds sentAt)
+{
+    return this->take(backendServer, { .life = life, .perSecond = std::nullopt, .at = sentAt }, sentAt);
+}
+
+LimitChange LimitBook::told(const std::string& backendServer, const LimitStatement& statement)
+{
+    return this->take(backendServer, statement, statement.at - this->options.toldMargin);
+}
+
+LimitChange LimitBook::take(const std::string& backendServer, const LimitStatement& next, Milliseconds validFrom)
+{
+    const auto found = this->statements.find(backendServer);
+    const bool isKnown = found != this->statements.end();
+    if (isKnown && next.life < found->second.life)
+        return LimitChange::None;
+    if (!isKnown || next.life > found->second.life) {
+        if (isKnown)
+            this->statements.erase(found);
+        if (!next.perSecond)
+            return LimitChange::None;
+        this->statements.emplace(backendServer, next);
+        if (this->statements.size() > this->options.mostServers)
+            this->forgetOldest();
+        return LimitChange::Begun;
+    }
+    LimitStatement& known = found->second;
+    const bool isLoosened = known.perSecond && (!next.perSecond || *next.perSecond > *known.perSecond);
+    if (next.at <= known.at || (isLoosened && validFrom <= known.at))
+        return LimitChange::None;
+    const std::optional<double> before = known.perSecond;
+    known = next;
+    if (before == next.perSecond)
+        return LimitChange::None;
+    if (!next.perSecond)
+        return LimitChange::Ended;
+    return before ? LimitChange::Adjusted : LimitChange::Begun;
+}
+
+void LimitBook::forgetOldest()
+{
+    const auto oldest = std::min_element(this->statements.begin(), this->statements.end(),
+        [](const auto& one, const auto& other) { return one.second.at < other.second.at; });
+    this->statements.erase(oldest);
+}
+
+void LimitBook::tick(Milliseconds now)
+{
+    std::erase_if(this->statements,
+        [&](const auto& item) { return !item.second.perSecond && now - item.second.at > this->options.endKept; });
+}
+
+const LimitStatement* LimitBook::find(std::string_view backendServer, std::uint64_t life) const
+{
+    const LimitStatement* statement = this->find(backendServer);
+    return statement && statement->life == life ? statement : nullptr;
+}
+
+const LimitStatement* LimitBook::find(std::string_view backendServer) const
+{
+    const auto found = this->statements.find(backendServer);
+    return found != this->statements.end() ? &found->second : nullptr;
+}
+
+std::optional<double> LimitBook::limitOf(std::string_view backendServer, std::uint64_t life) const
+{
+    const LimitStatement* statement = this->find(backendServer, life);
+    return statement ? statement->perSecond : std::nullopt;
+}
+
+}
--- a/Source/Membership/WatchDuty.cpp
+++ b/Source/Membership/WatchDuty.cpp
@@ -193,6 +193,18 @@
     return !this->activeOthersBelow(now);
 }
 
+std::optional<peers::Member> WatchDuty::firstBefore(bool isWatching, Milliseconds now) const
+{
+    const Watcher* first = nullptr;
+    for (const Watcher& watcher : this->known) {
+        const bool isHeard = now - watcher.toldAt <= this->options.firstRemembered;
+        const bool goesBefore = !isWatching || watcher.rank < this->ownRank;
+        if (isHeard && goesBefore && (!first || watcher.rank < first->rank))
+            first = &watcher;
+    }
+    return first ? std::optional(first->member) : std::nullopt;
+}
+
 std::vector<const WatchDuty::Watcher*> WatchDuty::ranked(Milliseconds now) const
 {
     std::vector<const Watcher*> found;
--- a/Source/Membership/WatchDuty.h
+++ b/Source/Membership/WatchDuty.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,7 @@
         Milliseconds staleAfter{ 1450 }; // older knowledge is not relied on
         Milliseconds staleSpread{ 250 }; // not all look for themselves at once
         Milliseconds remembered{ 3000 }; // a watcher that was not heard for longer is gone
+        Milliseconds firstRemembered{ 2000 }; // of the first one: the next takes its place; news come every 1.3 s
         Milliseconds volunteerSpread{ 3000 };
         /**
          * By all instances together that leave it to watchers without success: within a second or two one finds out
@@ -59,6 +61,12 @@
 
     /** No better placed watcher was heard: this one's news hold the changes themselves. */
     bool leads(Milliseconds now) const;
+    /**
+     * Of the instances that watch or ask the store, as far as they were heard themselves, the first by rank: the same
+     * for all that hear the same, whether or not the store answers. Nothing when none was heard or this one, if it
+     * watches, goes before them.
+     */
+    std::optional<peers::Member> firstBefore(bool isWatching, Milliseconds now) const;
     /**
      * Instances to which this one says that it wants their news: as many as are
      * wanted of those that were heard, the best first, and of those only named
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -24,6 +24,7 @@
     "data_centre_emptied",
     "crashes_backend_servers",
     "backend_servers_paused",
+    "backend_servers_limited",
     "backend_servers_refused",
     "answer_broken",
 };
@@ -53,6 +54,10 @@
     "probes_failed",
     "probes_denied",
     "pauses_asked",
+    "limits_named",
+    "permits_asked",
+    "permits_granted",
+    "permits_unanswered",
     "configurations_adopted",
     "configurations_unreadable",
     "store_answers",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -24,6 +24,7 @@
     DataCentreEmptied, // those that would take it stand in emptied data centres
     CrashesBackendServers, // backend servers ended under it wherever it ran
     BackendServersPaused, // all have asked this instance to send nothing for longer than a request may wait
+    BackendServersLimited, // all have named limits, and no permit comes within the time that a request may wait
     BackendServersRefused, // those that were tried did not run it
     AnswerBroken, // the connection ended before the whole answer, or what came is no answer
     Count
@@ -57,6 +58,10 @@
     ProbesFailed,
     ProbesDenied, // by their budget
     PausesAsked, // by backend servers that turned a request or a probe away
+    LimitsNamed, // by backend servers, heard here or told by others, each time that one begins
+    PermitsAsked, // of the granting instance, for requests to servers with a limit
+    PermitsGranted, // from here
+    PermitsUnanswered, // the granting instance was silent, was another one, or is not known
     ConfigurationsAdopted,
     ConfigurationsUnreadable,
     StoreAnswers,
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -59,6 +59,7 @@
     std::string backendServer;
     std::uint64_t life = 0;
     ServerNotice notice;
+    Milliseconds sentAt = LongAgo; // what is answered was sent then
 };
 
 /** An answer held a field that nothing here reads, for the first time. */
--- a/Source/Node/LoadView.cpp
+++ b/Source/Node/LoadView.cpp
@@ -14,6 +14,8 @@
         return "leaving";
     if (server.isPaused(now))
         return "paused";
+    if (server.permits().isLimited())
+        return "limited";
     if (server.isEjected(now))
         return "ejected";
     return server.isCold(now) ? "cold" : "taking";
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -95,6 +95,7 @@
         this->helloReceived(message.hello(), now, actions);
         this->parts.crashes->receive(message.hello().crashes(), this->parts.store->isWatching(), now, actions);
         this->parts.signs->receive(message.hello().leaving_signs(), now);
+        this->parts.limits->receive(message.hello().limits(), false, now, actions);
         this->parts.rollouts->receive(message.from(), message.hello().rollouts(), now);
         break;
     case peers::PeerMessage::kNews:
@@ -102,6 +103,7 @@
         // All were told by the one that watches.
         this->parts.crashes->receive(message.news().crashes(), false, now, actions);
         this->parts.signs->receive(message.news().leaving_signs(), now);
+        this->parts.limits->receive(message.news().limits(), true, now, actions);
         break;
     case peers::PeerMessage::kPull: {
         peers::PeerMessage answer;
@@ -331,6 +333,7 @@
     *hello->mutable_member() = this->options.self;
     hello->set_store_revision(this->parts.store->view().revision());
     this->parts.signs->fill(*hello->mutable_leaving_signs(), now);
+    this->parts.limits->fill(*hello->mutable_limits(), now);
     this->parts.crashes->fillWithOwn(*hello->mutable_crashes(), now);
     this->parts.rollouts->fill(*hello->mutable_rollouts());
     return message;
@@ -347,6 +350,7 @@
         *news->add_watchers() = watcher;
     news->set_member_count(static_cast<std::uint32_t>(this->instances(now)));
     this->parts.signs->fill(*news->mutable_leaving_signs(), now);
+    this->parts.limits->fill(*news->mutable_limits(), now);
     // By all watchers: when the leading one is lost, 3 s pass until the next one knows that it leads.
     this->parts.crashes->fillWithAll(*news->mutable_crashes(), now);
     const bool tellsContacts = this->newsNumber % NewsPerContacts == 0 && this->members.size();
--- a/Source/Node/NewsExchange.h
+++ b/Source/Node/NewsExchange.h
@@ -11,6 +11,7 @@
 #include "Node/CrashingRequests.h"
 #include "Node/LeavingSigns.h"
 #include "Node/RolloutDesk.h"
+#include "Node/ServerLimits.h"
 #include "Node/StoreKeeper.h"
 
 #include <cstdint>
@@ -55,6 +56,7 @@
         LeavingSigns* signs = nullptr;
         CrashingRequests* crashes = nullptr;
         RolloutDesk* rollouts = nullptr;
+        ServerLimits* limits = nullptr;
         Random* random = nullptr;
         DecisionCounters* counters = nullptr;
     };
@@ -77,6 +79,15 @@
     bool shouldWatch(Milliseconds now);
     /** Of the instances that watch this one writes to the store what the fleet keeps there. */
     bool leads(Milliseconds now) const { return this->parts.store->isWatching() && this->duty.leads(now); }
+    bool isWatching() const { return this->parts.store->isWatching(); }
+    /**
+     * The first of the instances that watch the store, unless it is this one or none was heard: the same for all that
+     * hear the same, also while the store is away.
+     */
+    std::optional<peers::Member> firstOtherWatcher(Milliseconds now) const
+    {
+        return this->duty.firstBefore(this->isWatching(), now);
+    }
     /** The store gave no usable answer to a call from here. */
     void askedInVain() { this->duty.askedInVain(); }
     /** Other instances that said hello here lately. */
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -22,7 +22,11 @@
     : options(givenOptions)
     , random(givenOptions.seed)
     , notices({})
-    , services({ .policies = policiesOf(givenOptions), .retries = givenOptions.retries, .notices = &this->notices },
+    , limitBook({})
+    , services({ .policies = policiesOf(givenOptions),
+                   .retries = givenOptions.retries,
+                   .notices = &this->notices,
+                   .limits = &this->limitBook },
           this->random)
     , signs({}, this->notices, this->services)
     , pauses({}, { .book = &this->notices, .services = &this->services, .random = &this->random })
@@ -37,6 +41,7 @@
               .signs = &this->signs,
               .crashes = &this->crashes,
               .rollouts = &this->rollouts,
+              .limits = &this->limits,
               .random = &this->random,
               .counters = &this->decisionCounters })
     , quotas({ .self = memberOf(givenOptions), .bound = givenOptions.quotas },
@@ -53,6 +58,12 @@
               .translator = givenOptions.translator.get(),
               .storeCalls = &this->storeCalls,
               .random = &this->random })
+    , limits({ .self = memberOf(givenOptions) },
+          { .book = &this->limitBook,
+              .services = &this->services,
+              .news = &this->news,
+              .random = &this->random,
+              .counters = &this->decisionCounters })
     , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre }, this->random)
     , flow(flowOf(givenOptions),
           { .services = &this->services,
@@ -62,7 +73,8 @@
               .store = &this->store,
               .crashes = &this->crashes,
               .quotas = &this->quotas,
-              .rollouts = &this->rollouts })
+              .rollouts = &this->rollouts,
+              .limits = &this->limits })
     , changes(
           { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
@@ -72,6 +84,7 @@
 {
     std::visit([&](const auto& item) { this->dispatch(item, now, actions); }, event);
     this->passOnLeaving(now, actions);
+    this->passOnLimits(now, actions);
     this->passOnCrashes(now, actions);
     if (now >= this->rollouts.nextTelling()) {
         this->rollouts.told();
@@ -109,6 +122,7 @@
 {
     if (event.notice.isLeaving)
         this->signs.heard(event.backendServer, event.life, now);
+    this->limits.heard(event, now, actions);
     if (!this->pauses.heard(event, now))
         return;
     this->decisionCounters.add(DecisionCount::PausesAsked);
@@ -169,8 +183,20 @@
     this->flow.capacityChanged(now, actions);
 }
 
+void Node::passOnLimits(Milliseconds now, Actions& actions)
+{
+    if (now >= this->limits.nextTelling()) {
+        this->limits.told();
+        this->news.tellAtOnce(now, actions);
+    }
+    if (this->limits.takeChanged())
+        this->flow.capacityChanged(now, actions);
+}
+
 void Node::dispatch(const PeerMessageArrived& event, Milliseconds now, Actions& actions)
 {
+    if (event.message.has_permit_ask() || event.message.has_permit_answer())
+        return this->limits.receive(event.message, now, actions);
     if (event.message.has_credit_ask() || event.message.has_credit_answer()) {
         this->quotas.receive(event.message, now, actions);
         return this->flow.creditDecided(now, actions);
@@ -249,6 +275,7 @@
     this->fleetSize.counted(members, now);
     this->services.setInstances({ .known = members, .atLeast = this->fleetSize.atLeast(now) });
     this->quotas.setInstances(this->fleetSize.atLeast(now));
+    this->limits.tick(this->fleetSize.atLeast(now), now);
     this->probes.setFleet(members, this->services.dataCentres());
     this->askStore(now, actions);
     this->noteStaleness(now, actions);
@@ -319,9 +346,9 @@
 
 Milliseconds Node::nextControlDue() const
 {
-    Milliseconds due = std::min(
-        { this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(), this->crashes.nextDue(),
-            this->crashRecorder.nextDue(), this->quotas.nextControlDue(), this->rollouts.nextDue() });
+    Milliseconds due = std::min({ this->news.nextDue(), this->changes.nextDue(), this->services.nextLapseEnd(),
+        this->crashes.nextDue(), this->crashRecorder.nextDue(), this->quotas.nextControlDue(), this->rollouts.nextDue(),
+        this->limits.nextTelling() });
     if (this->store.isWatching() || !this->store.view().revision())
         due = std::min(due, this->store.nextAt());
     return due;
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -16,6 +16,7 @@
 #include "Node/QuotaDesk.h"
 #include "Node/RequestFlow.h"
 #include "Node/RolloutDesk.h"
+#include "Node/ServerLimits.h"
 #include "Node/ServerPauses.h"
 #include "Node/ServiceTable.h"
 #include "Node/StoreKeeper.h"
@@ -89,6 +90,8 @@
     }
     /** How much credit for customers' requests this instance grants. */
     GrantMode grantMode(Milliseconds now) const { return this->quotas.mode(now); }
+    /** This instance grants permits for requests to backend servers with a limit. */
+    bool grantsPermits(Milliseconds now) const { return this->news.isWatching() && !this->news.firstOtherWatcher(now); }
     /** Requests under which servers ended. */
     std::size_t suspectedRequests() const { return this->crashes.size(); }
 
@@ -131,6 +134,8 @@
     void noteWatching(Actions& actions);
     /** Stops what is on its way to servers that were found to be leaving, and tells others. */
     void passOnLeaving(Milliseconds now, Actions& actions);
+    /** Tells others of limits that servers named, and goes on with requests that waited for permits. */
+    void passOnLimits(Milliseconds now, Actions& actions);
 
     Options options;
     bool stopping = false;
@@ -139,6 +144,7 @@
     DecisionCounters decisionCounters;
     StoreCallNumbers storeCalls;
     NoticeBook notices;
+    LimitBook limitBook;
     ServiceTable services;
     LeavingSigns signs;
     ServerPauses pauses;
@@ -148,6 +154,7 @@
     NewsExchange news;
     QuotaDesk quotas;
     RolloutDesk rollouts;
+    ServerLimits limits;
     FleetSize fleetSize;
     ProbeDesk probes;
     RequestFlow flow;
--- a/Source/Node/RefusalRules.cpp
+++ b/Source/Node/RefusalRules.cpp
@@ -15,6 +15,8 @@
         return RefusalReason::NoBackendServer;
     if (choice == NoChoice::Paused && pool.pauseEnd(now) >= request.waitUntil)
         return RefusalReason::BackendServersPaused;
+    if (choice == NoChoice::Limited && pool.nextPermit(now) >= request.waitUntil)
+        return RefusalReason::BackendServersLimited;
     return std::nullopt;
 }
 
@@ -50,8 +52,9 @@
     const Milliseconds usual = comeBackAfter(reason, request.route->targetLatency, random);
     if (!request.service)
         return usual;
-    const Milliseconds pauseLeft = request.service->pool.pauseEnd(now) - now;
-    return pauseLeft.count > 0 ? std::max(usual, comeBackAfterPause(pauseLeft, random)) : usual;
+    const ServicePool& pool = request.service->pool;
+    const Milliseconds left = std::max(pool.pauseEnd(now), pool.nextPermit(now)) - now;
+    return left.count > 0 ? std::max(usual, comeBackAfterPause(left, random)) : usual;
 }
 
 }
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -121,6 +121,7 @@
 void RequestFlow::begin(RequestState& request, Milliseconds now, Actions& actions)
 {
     request.wantsTarget = this->parts.rollouts->takeTurn(*request.service);
+    this->parts.limits->begun(*request.service, now, actions);
     if (this->chooser.begin(request, now, actions))
         request.phase = RequestPhase::Asking;
     else
@@ -220,6 +221,8 @@
             continue;
         }
         Choice choice = this->chooser.chooseOrAsk(request, now, actions);
+        if (!choice.server && this->parts.limits->wanted(service, request.waitUntil - now, now, actions))
+            choice = this->chooser.chooseOrAsk(request, now, actions);
         if (choice.server) {
             this->send(request, std::move(choice.server), now, actions);
             continue;
@@ -308,6 +311,7 @@
         ++request.history.provedNotRun;
     }
     if (end.result == AttemptResult::Answered) {
+        this->parts.limits->answered(server, flight.sentAt, now, actions);
         request.service->answered(*request.route, now - flight.sentAt);
         if (flight.isUnhindered)
             request.service->answeredUnhindered(*request.route, now - flight.sentAt);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -10,6 +10,7 @@
 #include "Node/RequestState.h"
 #include "Node/RolloutDesk.h"
 #include "Node/ServerChooser.h"
+#include "Node/ServerLimits.h"
 #include "Node/ServiceTable.h"
 #include "Node/StoreKeeper.h"
 
@@ -50,6 +51,7 @@
         CrashingRequests* crashes = nullptr;
         QuotaDesk* quotas = nullptr;
         RolloutDesk* rollouts = nullptr;
+        ServerLimits* limits = nullptr;
     };
 
     RequestFlow(Options options, Parts parts);
--- /dev/null
+++ b/Source/Node/ServerLimits.cpp
@@ -0,0 +1,331 @@
+#include "Node/ServerLimits.h"
+
+#include "Node/NewsExchange.h"
+#include "Node/PeerEnvelope.h"
+#include "Node/ServiceTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+/** In one message: 4 KB. More limits than these are told by turns, the latest heard first. */
+constexpr std::size_t MostTold = 100;
+/** Of times told to other instances. */
+constexpr double LongestTold = 60000;
+/** Requests a second; keeps intervals finite. */
+constexpr double HighestLimit = 1e6;
+
+std::uint32_t wholeMilliseconds(Milliseconds span)
+{
+    return static_cast<std::uint32_t>(std::clamp(span.count, 0.0, LongestTold));
+}
+
+}
+
+ServerLimits::ServerLimits(Options givenOptions, Parts givenParts)
+    : options(std::move(givenOptions))
+    , parts(givenParts)
+{
+}
+
+std::shared_ptr<BackendServerState> ServerLimits::serverOf(const std::string& id, std::uint64_t life) const
+{
+    auto server = this->parts.services->backendServer(id);
+    return server && server->record().life == life ? server : nullptr;
+}
+
+void ServerLimits::heard(const ServerNoticed& event, Milliseconds now, Actions& actions)
+{
+    if (!event.notice.limit)
+        return;
+    const double perSecond = std::min(*event.notice.limit, HighestLimit);
+    const LimitChange change = this->parts.book->heard(event.backendServer, event.life, perSecond, event.sentAt, now);
+    this->apply(event.backendServer, event.life);
+    this->note(event.backendServer, change, Way::Answer, now, actions);
+}
+
+void ServerLimits::answered(BackendServerState& server, Milliseconds sentAt, Milliseconds now, Actions& actions)
+{
+    const std::uint64_t life = server.record().life;
+    const LimitChange change = this->parts.book->answered(server.id(), life, sentAt);
+    if (change == LimitChange::None)
+        return;
+    this->apply(server.id(), life);
+    this->note(server.id(), change, Way::Answer, now, actions);
+}
+
+void ServerLimits::apply(const std::string& backendServer, std::uint64_t life)
+{
+    const auto server = this->serverOf(backendServer, life);
+    const LimitStatement* statement = this->parts.book->find(backendServer, life);
+    if (!server || !statement)
+        return;
+    if (statement->perSecond)
+        server->permits().limit(statement->at);
+    else
+        server->permits().lift();
+}
+
+void ServerLimits::tellLater(const std::string& backendServer, Milliseconds now)
+{
+    if (this->untold.empty())
+        this->tellAt = now + this->options.longestTellDelay * this->parts.random->unit();
+    this->untold.insert(backendServer);
+}
+
+void ServerLimits::note(
+    const std::string& backendServer, LimitChange change, Way way, Milliseconds now, Actions& actions)
+{
+    if (way == Way::News)
+        this->untold.erase(backendServer);
+    const LimitStatement* statement = this->parts.book->find(backendServer);
+    if (change == LimitChange::None || change == LimitChange::Adjusted || !statement)
+        return;
+    this->changed = true;
+    // Those that watch the store tell all others.
+    if (way == Way::Answer || (way == Way::Peer && this->parts.news->isWatching()))
+        this->tellLater(backendServer, now);
+    DecisionRecord record = beliefOf(statement->perSecond ? "limit_named" : "limit_ended", backendServer)
+                                .with("heard_from", way == Way::Answer ? "server" : "news");
+    if (statement->perSecond) {
+        record.with("per_second", *statement->perSecond);
+        this->parts.counters->add(DecisionCount::LimitsNamed);
+        // What was chosen before and is not yet written would go without a permit.
+        actions.emplace_back(StopSendingTo{ .backendServer = backendServer, .keepsConnections = true });
+    }
+    actions.emplace_back(std::move(record));
+}
+
+std::vector<BackendServerState*> ServerLimits::askable(
+    const ServiceState& service, bool onlyOld, Milliseconds now) const
+{
+    std::vector<BackendServerState*> found;
+    for (const auto& server : service.pool.servers()) {
+        const SendPermits& permits = server->permits();
+        const bool isWanted = permits.isLimited() && (!onlyOld || permits.isWordOld(now));
+        if (isWanted && permits.mayAsk(now) && server->takesNewRequests() && !server->isPaused(now))
+            found.push_back(server.get());
+    }
+    return found;
+}
+
+bool ServerLimits::wanted(const ServiceState& service, Milliseconds patience, Milliseconds now, Actions& actions)
+{
+    if (this->parts.book->all().empty())
+        return false;
+    // One for each that waits, and the one that was just taken from the queue: others would not be used.
+    const auto all = service.pool.servers();
+    const auto expected = std::count_if(
+        all.begin(), all.end(), [now](const auto& server) { return server->permits().isExpected(now); });
+    if (static_cast<std::size_t>(expected) > service.queue.size())
+        return false;
+    const auto servers = this->askable(service, false, now);
+    return !servers.empty()
+        && this->ask(
+            *servers[this->parts.random->below(servers.size())], std::max(patience, Milliseconds{}), now, actions);
+}
+
+void ServerLimits::begun(const ServiceState& service, Milliseconds now, Actions& actions)
+{
+    if (this->parts.book->all().empty())
+        return;
+    const auto servers = this->askable(service, true, now);
+    if (!servers.empty())
+        this->ask(*servers[this->parts.random->below(servers.size())], {}, now, actions);
+}
+
+bool ServerLimits::ask(BackendServerState& server, Milliseconds patience, Milliseconds now, Actions& actions)
+{
+    const LimitStatement* statement = this->parts.book->find(server.id(), server.record().life);
+    if (!statement || !statement->perSecond)
+        return false;
+    const bool wasSilent = server.permits().isUnanswered(now);
+    server.permits().answered();
+    const auto granting = this->parts.news->firstOtherWatcher(now);
+    if (this->mayGrant(now)) {
+        this->settle(server,
+            this->grant({ .backendServer = server.id(),
+                            .life = statement->life,
+                            .perSecond = *statement->perSecond,
+                            .patience = patience },
+                now),
+            now);
+    } else if (granting && !wasSilent)
+        this->askGranting(*granting, server, *statement, patience, now, actions);
+    else
+        this->deal(server, now);
+    return server.permits().allows(now);
+}
+
+void ServerLimits::askGranting(const peers::Member& granting, BackendServerState& server,
+    const LimitStatement& statement, Milliseconds patience, Milliseconds now, Actions& actions)
+{
+    this->parts.counters->add(DecisionCount::PermitsAsked);
+    server.permits().asked(++this->lastAsk, now + this->options.answerPatience);
+    peers::PeerMessage message;
+    peers::PermitAsk& ask = *message.mutable_permit_ask();
+    ask.set_number(this->lastAsk);
+    *ask.mutable_limit() = this->messageOf(server.id(), statement, now);
+    ask.set_patience_milliseconds(wholeMilliseconds(patience));
+    ask.set_reply_to(addressOf(this->options.self).packed());
+    actions.emplace_back(addressedTo(addressOf(granting), this->options.self.incarnation(), std::move(message)));
+}
+
+void ServerLimits::deal(BackendServerState& server, Milliseconds now)
+{
+    this->parts.counters->add(DecisionCount::PermitsUnanswered);
+    const auto limit = this->parts.book->limitOf(server.id(), server.record().life);
+    if (limit && this->instances) {
+        const double all = static_cast<double>(std::max<std::size_t>(*this->instances, 1));
+        const DealtBudget::Part part{ .perSecond = *limit * this->options.dealtShare / all,
+            .window = this->options.dealtWindow };
+        if (this->dealt.take(server.id(), part, *this->parts.random, now))
+            return server.permits().give({ .from = now, .until = now + PermitLife });
+    }
+    server.permits().denied(now + this->options.silentPause);
+}
+
+PermitSchedule::Grant ServerLimits::grant(const PermitSchedule::Wish& wish, Milliseconds now)
+{
+    // Parts of a fleet that do not hear each other share the limit by their size.
+    const auto known = static_cast<double>(this->parts.news->knownInstances().size() + 1);
+    const double share = this->instances
+        ? std::min(1.0, known / static_cast<double>(std::max<std::size_t>(*this->instances, 1)))
+        : this->options.shareOfUnknown;
+    PermitSchedule::Wish granted = wish;
+    granted.perSecond = wish.perSecond * share;
+    const PermitSchedule::Grant grant = this->schedule.grant(granted, now);
+    if (grant.isGranted)
+        this->parts.counters->add(DecisionCount::PermitsGranted);
+    return grant;
+}
+
+void ServerLimits::settle(BackendServerState& server, const PermitSchedule::Grant& grant, Milliseconds now)
+{
+    const Milliseconds from = now + grant.wait;
+    if (grant.isGranted)
+        return server.permits().give({ .from = from, .until = from + PermitLife });
+    // All that were denied would ask again at the same moment.
+    server.permits().denied(now + grant.wait * (1 + this->parts.random->unit()));
+}
+
+void ServerLimits::asked(const peers::PermitAsk& ask, Milliseconds now, Actions& actions)
+{
+    const auto address = unpackNetworkAddress(ask.reply_to());
+    if (!address)
+        return this->parts.counters->add(DecisionCount::PeerMessagesRefused);
+    this->take(ask.limit(), Way::Peer, now, actions);
+    peers::PeerMessage message;
+    peers::PermitAnswer& answer = *message.mutable_permit_answer();
+    answer.set_number(ask.number());
+    *answer.mutable_limit() = ask.limit();
+    if (const auto* known = this->parts.book->find(ask.limit().backend_server(), ask.limit().life()))
+        *answer.mutable_limit() = this->messageOf(ask.limit().backend_server(), *known, now);
+    answer.set_not_granting(!this->mayGrant(now));
+    if (this->mayGrant(now) && !answer.limit().is_over()) {
+        const Milliseconds patience{ static_cast<double>(ask.patience_milliseconds()) };
+        const PermitSchedule::Grant grant = this->grant({ .backendServer = ask.limit().backend_server(),
+                                                            .life = ask.limit().life(),
+                                                            .perSecond = answer.limit().per_second(),
+                                                            .patience = patience },
+            now);
+        answer.set_is_granted(grant.isGranted);
+        answer.set_wait_milliseconds(wholeMilliseconds({ std::ceil(grant.wait.count) }));
+    }
+    actions.emplace_back(addressedTo(*address, this->options.self.incarnation(), std::move(message)));
+}
+
+void ServerLimits::answered(const peers::PermitAnswer& answer, Milliseconds now, Actions& actions)
+{
+    const auto server = this->serverOf(answer.limit().backend_server(), answer.limit().life());
+    // What comes after its time is not used.
+    if (!server || !server->permits().isAwaited(answer.number()))
+        return;
+    server->permits().answered();
+    this->take(answer.limit(), Way::Peer, now, actions);
+    this->changed = true;
+    if (!server->permits().isLimited())
+        return;
+    if (answer.not_granting())
+        return this->deal(*server, now);
+    const Milliseconds wait{ static_cast<double>(answer.wait_milliseconds()) };
+    this->settle(*server, { .isGranted = answer.is_granted(), .wait = wait }, now);
+}
+
+void ServerLimits::receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
+{
+    if (message.version() != PeerProtocolVersion)
+        return this->parts.counters->add(DecisionCount::PeerMessagesRefused);
+    if (message.has_permit_ask())
+        this->asked(message.permit_ask(), now, actions);
+    else
+        this->answered(message.permit_answer(), now, actions);
+}
+
+peers::NamedLimit ServerLimits::messageOf(
+    const std::string& backendServer, const LimitStatement& statement, Milliseconds now) const
+{
+    peers::NamedLimit message;
+    message.set_backend_server(backendServer);
+    message.set_life(statement.life);
+    message.set_per_second(statement.perSecond.value_or(0));
+    message.set_is_over(!statement.perSecond);
+    message.set_age_milliseconds(wholeMilliseconds(now - statement.at));
+    return message;
+}
+
+void ServerLimits::take(const peers::NamedLimit& message, Way way, Milliseconds now, Actions& actions)
+{
+    const bool isReadable = std::isfinite(message.per_second()) && message.per_second() >= 0;
+    if (!isReadable)
+        return this->parts.counters->add(DecisionCount::PeerMessagesRefused);
+    LimitStatement statement{ .life = message.life(),
+        .at = now - Milliseconds{ static_cast<double>(message.age_milliseconds()) } };
+    if (!message.is_over())
+        statement.perSecond = std::min(message.per_second(), HighestLimit);
+    const LimitChange change = this->parts.book->told(message.backend_server(), statement);
+    this->apply(message.backend_server(), message.life());
+    this->note(message.backend_server(), change, way, now, actions);
+}
+
+void ServerLimits::fill(Messages& messages, Milliseconds now) const
+{
+    std::vector<std::pair<Milliseconds, const std::string*>> latest;
+    for (const auto& [backendServer, statement] : this->parts.book->all()) {
+        if (now - statement.at <= this->options.toldFor)
+            latest.emplace_back(statement.at, &backendServer);
+    }
+    std::sort(latest.begin(), latest.end(), [](const auto& left, const auto& right) { return left > right; });
+    latest.resize(std::min(latest.size(), MostTold));
+    for (const auto& [at, backendServer] : latest)
+        *messages.Add() = this->messageOf(*backendServer, this->parts.book->all().find(*backendServer)->second, now);
+}
+
+void ServerLimits::receive(const Messages& messages, bool isNews, Milliseconds now, Actions& actions)
+{
+    for (const peers::NamedLimit& message : messages)
+        this->take(message, isNews ? Way::News : Way::Peer, now, actions);
+}
+
+bool ServerLimits::mayGrant(Milliseconds now)
+{
+    const bool isFirst = this->parts.news->isWatching() && !this->parts.news->firstOtherWatcher(now);
+    if (!isFirst)
+        this->grantsFrom = Never;
+    else if (this->grantsFrom == Never)
+        this->grantsFrom = now + this->options.takeOver;
+    return now >= this->grantsFrom;
+}
+
+void ServerLimits::tick(std::optional<std::size_t> instancesAtLeast, Milliseconds now)
+{
+    this->instances = instancesAtLeast;
+    this->parts.book->tick(now);
+    this->mayGrant(now);
+}
+
+}
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -100,6 +100,9 @@
     const auto server = service.pool.put(record, now);
     server->setEmptied(this->emptied.contains(record.dataCentre));
     // What it said outlives its record, which may have been gone for a moment.
+    const auto* limit = this->options.limits ? this->options.limits->find(record.id, record.life) : nullptr;
+    if (limit && limit->perSecond)
+        server->permits().limit(limit->at);
     if (!this->options.notices)
         return;
     if (this->options.notices->isLeaving(record.id, record.life))
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -3,6 +3,7 @@
 #include "Attempts/RetryBudget.h"
 #include "Base/Random.h"
 #include "Configuration/FactTranslator.h"
+#include "Limits/LimitBook.h"
 #include "Node/BackendServerChange.h"
 #include "Node/PolicyFactory.h"
 #include "Node/ServiceState.h"
@@ -29,6 +30,7 @@
         std::shared_ptr<const PolicyFactory> policies;
         RetryLimits retries;
         const NoticeBook* notices = nullptr; // outlives the table
+        const LimitBook* limits = nullptr; // as well
     };
 
     ServiceTable(Options options, Random& random);
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -68,8 +68,11 @@
 {
     const double use = (static_cast<double>(this->inFlight()) + this->lastReport.others + 1) / this->slots();
     const bool isFresh = now - this->lastReport.at <= FreshFigures;
-    this->flights.push_back(
-        { .attempt = attempt, .sentAt = now, .crowd = std::max(1.0, use), .use = isFresh ? use : 0 });
+    this->flights.push_back({ .attempt = attempt,
+        .sentAt = now,
+        .crowd = std::max(1.0, use),
+        .use = isFresh ? use : 0,
+        .permit = this->sendPermits.take(now) });
 }
 
 EndedFlight BackendServerState::ended(
@@ -81,6 +84,8 @@
         return {};
     const Flight ended = *flight;
     this->flights.erase(flight);
+    if (ended.permit && end.result == AttemptResult::NotSent)
+        this->sendPermits.give(*ended.permit);
     if (end.load)
         this->reported(*end.load, now);
     this->learn(end, ended, expected, now);
@@ -107,8 +112,8 @@
         this->failed(now);
         break;
     case AttemptResult::NotSent:
-        // During a pause it was held back from here.
-        if (!this->isPaused(now))
+        // During a pause, or when a limit had just been named, it was held back from here.
+        if (!this->isPaused(now) && (flight.permit || !this->sendPermits.isLimited()))
             this->failed(now);
         break;
     case AttemptResult::ErrorAnswer:
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -3,9 +3,11 @@
 #include "Base/Milliseconds.h"
 #include "Configuration/BackendServerRecord.h"
 #include "Routing/AttemptResult.h"
+#include "Routing/SendPermits.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +75,9 @@
     Milliseconds pausedUntil() const { return this->pauseEnd; }
     /** False while it is coming back after a pause and has as many requests from here as that allows. */
     bool mayTakeAfterPause() const { return !this->allowedAfterPause || this->inFlight() < this->allowedAfterPause; }
+    /** What it may be sent from here as long as it names a limit. */
+    SendPermits& permits() { return this->sendPermits; }
+    const SendPermits& permits() const { return this->sendPermits; }
     bool isEjected(Milliseconds now) const { return now < this->ejectedUntil; }
     /** Ejected before and not proved well since: one request at a time. */
     bool isOnTrial() const { return this->ejectionCount > 0; }
@@ -97,6 +102,7 @@
         Milliseconds sentAt;
         double crowd = 1; // requests for each slot when it was sent, at least 1
         double use = 0; // as fresh figures told it; 0: there were none
+        std::optional<SendPermit> permit; // that it used
     };
 
     void learn(const AttemptEnd& end, const Flight& flight, Milliseconds expected, Milliseconds now);
@@ -114,6 +120,7 @@
     bool emptied = false;
     bool leaving = false;
     std::vector<Flight> flights;
+    SendPermits sendPermits;
     LoadReport lastReport;
     Milliseconds distrustedUntil = LongAgo;
     double slownessEstimate = 1;
--- /dev/null
+++ b/Source/Routing/SendPermits.cpp
@@ -0,0 +1,88 @@
+#include "Routing/SendPermits.h"
+
+#include <algorithm>
+
+namespace burlreach {
+
+namespace {
+
+/** At half a request a second the server is heard about so often. */
+constexpr Milliseconds WordKeptFresh{ 2000 };
+
+}
+
+void SendPermits::limit(Milliseconds heardAt)
+{
+    this->limited = true;
+    this->wordAt = std::max(this->wordAt, heardAt);
+}
+
+void SendPermits::lift()
+{
+    *this = {};
+}
+
+bool SendPermits::isWordOld(Milliseconds now) const
+{
+    return this->limited && now - this->wordAt > WordKeptFresh;
+}
+
+bool SendPermits::allows(Milliseconds now) const
+{
+    return !this->limited || std::any_of(this->permits.begin(), this->permits.end(), [now](const SendPermit& permit) {
+        return now >= permit.from && now < permit.until;
+    });
+}
+
+std::optional<SendPermit> SendPermits::take(Milliseconds now)
+{
+    std::erase_if(this->permits, [now](const SendPermit& permit) { return now >= permit.until; });
+    const auto found = std::min_element(this->permits.begin(), this->permits.end(),
+        [](const SendPermit& left, const SendPermit& right) { return left.until < right.until; });
+    if (!this->limited || found == this->permits.end())
+        return std::nullopt;
+    const SendPermit taken = *found;
+    this->permits.erase(found);
+    return taken;
+}
+
+void SendPermits::give(const SendPermit& permit)
+{
+    if (this->limited)
+        this->permits.push_back(permit);
+}
+
+bool SendPermits::isExpected(Milliseconds now) const
+{
+    return this->isAwaiting(now)
+        || std::any_of(
+            this->permits.begin(), this->permits.end(), [now](const SendPermit& permit) { return now < permit.until; });
+}
+
+bool SendPermits::mayAsk(Milliseconds now) const
+{
+    return this->limited && !this->isExpected(now) && now >= this->deniedUntil;
+}
+
+void SendPermits::asked(std::uint64_t number, Milliseconds due)
+{
+    this->ask = number;
+    this->answerDue = due;
+}
+
+void SendPermits::denied(Milliseconds until)
+{
+    this->deniedUntil = std::max(this->deniedUntil, until);
+}
+
+Milliseconds SendPermits::nextChance(Milliseconds now) const
+{
+    Milliseconds next = this->isAwaiting(now) ? now : std::max(now, this->deniedUntil);
+    for (const SendPermit& permit : this->permits) {
+        if (now < permit.until)
+            next = std::min(next, std::max(now, permit.from));
+    }
+    return next;
+}
+
+}
--- a/Source/Routing/ServicePool.cpp
+++ b/Source/Routing/ServicePool.cpp
@@ -90,10 +90,25 @@
     return anyTakes ? std::max(first, now) : now;
 }
 
+Milliseconds ServicePool::nextPermit(Milliseconds now) const
+{
+    Milliseconds next = Never;
+    for (const auto& server : this->list) {
+        if (server->takesNewRequests() && !server->isPaused(now))
+            next = std::min(next, server->permits().isLimited() ? server->permits().nextChance(now) : now);
+    }
+    return next == Never ? now : next;
+}
+
 NoChoice ServicePool::whyNobody(Milliseconds now) const
 {
     if (this->pauseEnd(now) > now)
         return NoChoice::Paused;
+    const bool isLimited = std::any_of(this->list.begin(), this->list.end(), [now](const auto& server) {
+        return server->takesNewRequests() && !server->isPaused(now) && server->permits().isLimited();
+    });
+    if (isLimited)
+        return NoChoice::Limited;
     return this->areAllLeaving() ? NoChoice::AllLeave : NoChoice::NobodyTakes;
 }
 
@@ -122,7 +137,9 @@
         if (!this->versions.allows(server->record().version, sieve.wantsTarget))
             continue;
         const bool isLeftOut = std::find(sieve.without.begin(), sieve.without.end(), server) != sieve.without.end();
-        const bool isTaker = server->takesNewRequests() && !server->isPaused(now);
+        const bool isHeldBack = server->isPaused(now) || !server->permits().allows(now)
+            || (!sieve.withLimited && server->permits().isLimited());
+        const bool isTaker = server->takesNewRequests() && !isHeldBack;
         if (isTaker && !isLeftOut && (sieve.withEjected || !server->isEjected(now)))
             found.push_back(server.get());
     }
@@ -194,9 +211,15 @@
         [&](const BackendServerState* server) { return isToldSlow(*server, wish.longestWork, context.now); });
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Slow };
+    // Only an answer tells whether the limit still holds, and nobody is asked for figures there.
+    const auto old = std::find_if(candidates.begin(), candidates.end(),
+        [&](const BackendServerState* server) { return server->permits().isWordOld(context.now); });
+    if (old != candidates.end())
+        return { .server = this->find((*old)->id()), .reason = NoChoice::Full };
     if (wish.onlyHeard)
-        std::erase_if(
-            candidates, [&](const BackendServerState* server) { return !isHeardLately(*server, context.now); });
+        std::erase_if(candidates, [&](const BackendServerState* server) {
+            return !server->permits().isLimited() && !isHeardLately(*server, context.now);
+        });
     if (candidates.empty())
         return { .server = nullptr, .reason = NoChoice::Unheard };
     const BackendServerState* chosen = this->policy->choose(candidates, context, random);
@@ -206,7 +229,8 @@
 std::vector<std::shared_ptr<BackendServerState>> ServicePool::worthKnowing(
     std::size_t most, const RoutingContext& context, Random& random) const
 {
-    std::vector<BackendServerState*> takers = this->filter({ .wantsTarget = context.wantsTarget }, context.now);
+    std::vector<BackendServerState*> takers
+        = this->filter({ .wantsTarget = context.wantsTarget, .withLimited = false }, context.now);
     const PoolLoad pool = poolLoadOf(takers);
     constexpr double jitter = 0.3;
     std::vector<std::pair<double, const BackendServerState*>> ranked;
--- a/Source/Routing/ServicePool.h
+++ b/Source/Routing/ServicePool.h
@@ -26,6 +26,7 @@
     Slow, // some have room, but said a moment ago that work takes too long there
     Unheard, // others may have room, but were not heard lately
     Paused, // all that would take a request have asked for a pause
+    Limited, // those that would take a request have named limits, and there is no permit for any
     AllLeave, // each that is there is draining or leaving: none will take a request any more
     NobodyTakes // none is there, or those that are have been replaced or emptied
 };
@@ -62,6 +63,8 @@
     /** When the first of them may be sent something again, where all that take requests have asked for a pause; else
      * now. */
     Milliseconds pauseEnd(Milliseconds now) const;
+    /** Where each that takes requests has named a limit: when there may be a permit for one; else now. */
+    Milliseconds nextPermit(Milliseconds now) const;
     /** True when it was there. */
     bool remove(std::string_view id);
     void setConnectionShare(std::size_t share);
@@ -101,6 +104,7 @@
         std::span<const std::shared_ptr<BackendServerState>> without;
         bool withEjected = false;
         bool wantsTarget = false;
+        bool withLimited = true; // those that have named a limit, if a request may be sent now
     };
 
     std::vector<BackendServerState*> takers(const ChoiceWish& wish, const RoutingContext& context) const;
--- a/Source/Traffic/OwnHeaders.h
+++ b/Source/Traffic/OwnHeaders.h
@@ -22,5 +22,7 @@
 inline constexpr const char* LoadHeader = "Burlreach-Load";
 /** A backend server's word that it is leaving. */
 inline constexpr const char* LeavingHeader = "Burlreach-Leaving";
+/** The requests a second that a backend server takes from all instances together. */
+inline constexpr const char* LimitHeader = "Burlreach-Limit";
 
 }
--- a/Source/Traffic/OwnTrafficDialect.cpp
+++ b/Source/Traffic/OwnTrafficDialect.cpp
@@ -1,6 +1,7 @@
 #include "Traffic/OwnTrafficDialect.h"
 
 #include "Traffic/LoadText.h"
+#include "Traffic/NamedLimit.h"
 #include "Traffic/OwnHeaders.h"
 #include "Traffic/RefusalStatus.h"
 #include "Traffic/RetryAfter.h"
@@ -15,7 +16,8 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned FirstErrorStatus = 500;
-constexpr std::array<const char*, 4> AnswerFields{ RequestIdHeader, NotRunHeader, LoadHeader, LeavingHeader };
+constexpr std::array<const char*, 5> AnswerFields{ RequestIdHeader, NotRunHeader, LoadHeader, LeavingHeader,
+    LimitHeader };
 
 AttemptResult resultOf(const HttpResponse& response)
 {
@@ -76,6 +78,7 @@
         return {};
     ServerNotice notice;
     notice.isLeaving = !valueOf(response, LeavingHeader).empty();
+    notice.limit = namedLimitOf(response, LimitHeader);
     if (response.result() == http::status::service_unavailable)
         notice.pause = retryAfterOf(response).value_or(Milliseconds{});
     return notice;
--- a/Source/Traffic/RequestDesk.cpp
+++ b/Source/Traffic/RequestDesk.cpp
@@ -175,13 +175,14 @@
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.isOwnAnswer = [dialect = this->parts.dialect, id = request.requestId](
                                const HttpResponse& response) { return dialect->isAnswerTo(response, id); };
-    exchange.headerRead = [this, server = action.backendServer, life = action.life](
-                              const HttpResponse& header) { this->headerRead(server, life, header); };
+    const Milliseconds now = this->parts.clock->now();
+    exchange.headerRead = [this, server = action.backendServer, life = action.life, now](
+                              const HttpResponse& header) { this->headerRead(server, life, now, header); };
     const RequestNumber number = action.request;
     const AttemptNumber attempt = action.attempt;
     Attempt& started = request.attempts[attempt];
     started.backendServer = action.backendServer;
-    started.sentAt = this->parts.clock->now();
+    started.sentAt = now;
     started.exchange = std::make_shared<HttpExchange>(*this->context, std::move(exchange),
         [this, number, attempt](HttpExchangeEnd end) { this->attemptEnded(number, attempt, std::move(end)); });
     const Milliseconds longestIdle = action.mayRepeat ? Never : this->options.longestIdleRunOnce;
@@ -190,13 +191,15 @@
     started.exchange->start(std::move(kept));
 }
 
-void RequestDesk::headerRead(const std::string& backendServer, std::uint64_t life, const HttpResponse& header)
+void RequestDesk::headerRead(
+    const std::string& backendServer, std::uint64_t life, Milliseconds sentAt, const HttpResponse& header)
 {
     // Not with the end of the attempt: a retry is chosen there, the body may take long or break off, and an answer to
     // another request has no end here.
     const ServerNotice notice = this->parts.dialect->readNotice(header, backendServer);
     if (!notice.isEmpty())
-        this->parts.sink->post(ServerNoticed{ .backendServer = backendServer, .life = life, .notice = notice });
+        this->parts.sink->post(
+            ServerNoticed{ .backendServer = backendServer, .life = life, .notice = notice, .sentAt = sentAt });
     for (UnreadField& field : this->unreadFields.newOnes(header, *this->parts.dialect))
         this->parts.sink->post(UnreadFieldSeen{
             .backendServer = backendServer, .field = std::move(field.name), .value = std::move(field.value) });
@@ -311,8 +314,8 @@
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
-    options.headerRead = [this, server = probe.backendServer, life = probe.life](
-                             const HttpResponse& header) { this->headerRead(server, life, header); };
+    options.headerRead = [this, server = probe.backendServer, life = probe.life, now = this->parts.clock->now()](
+                             const HttpResponse& header) { this->headerRead(server, life, now, header); };
     const bool wasKept = kept != nullptr;
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
         [this, probe, wasKept](HttpExchangeEnd end) { this->probeEnded(probe, wasKept, std::move(end)); });
--- a/Source/Traffic/RequestDesk.h
+++ b/Source/Traffic/RequestDesk.h
@@ -100,7 +100,9 @@
     void sessionRefused() override;
 
     /** The header of an answer has come, whatever becomes of the answer. */
-    void headerRead(const std::string& backendServer, std::uint64_t life, const HttpResponse& header);
+    /** Of an answer to something that was sent at this time. */
+    void headerRead(
+        const std::string& backendServer, std::uint64_t life, Milliseconds sentAt, const HttpResponse& header);
     HttpRequest forwarded(const Request& request, const SendAttempt& action) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
     AttemptEnd endOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -1,6 +1,7 @@
 #include "Tests/FaultMatrix/Cell.h"
 
 #include "Tests/FaultMatrix/Promises.h"
+#include "Tests/Virtual/LimitsKept.h"
 #include "Tests/Virtual/WordsKept.h"
 
 #include <algorithm>
@@ -221,6 +222,10 @@
     if (this->allConfined())
         promises.checkUsed(ServersThere[1], this->drainedAt);
     std::vector<std::string> broken = promises.broken();
+    // Shorter than in service: the fleet is small, and the fault does not last long.
+    constexpr LimitBound limits{ .settling = { 1000 } };
+    for (const std::string& sentence : limitsExceeded(this->fleet, limits))
+        broken.push_back(sentence);
     for (const std::string& sentence : sentAgainstWords(this->fleet))
         broken.push_back(sentence);
     if (fellBack)
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -1,5 +1,6 @@
 #include "Tests/FaultMatrix/Fault.h"
 
+#include <optional>
 #include <vector>
 
 namespace burlreach {
@@ -178,6 +179,8 @@
 
 /** Longer than requests may wait, shorter than a fault lasts. */
 constexpr Milliseconds AskedPause{ 1200 };
+/** Requests a second; a third of what a server gets without it. */
+constexpr double NamedLimit = 4;
 
 /** Of the first servers. */
 Fault leavingFault(std::string_view faultName, std::size_t servers, bool isConfined)
@@ -211,6 +214,18 @@
     return fault;
 }
 
+/** They name limits meanwhile, and work as before. */
+Fault limitFault(std::string_view faultName, std::size_t servers, bool isConfined)
+{
+    const auto name = [servers](std::optional<double> limit) {
+        return [servers, limit](VirtualFleet& fleet) {
+            for (std::size_t index = 0; index < servers; ++index)
+                fleet.server("s" + std::to_string(index)).setLimit(limit);
+        };
+    };
+    return { .name = faultName, .inject = name(NamedLimit), .heal = name(std::nullopt), .isConfined = isConfined };
+}
+
 std::vector<Fault> makeWordFaults()
 {
     constexpr std::size_t half = 3;
@@ -220,6 +235,8 @@
         leavingFault("half-of-servers-leaving", half, false),
         pauseFault("server-asks-pause", 1, true),
         pauseFault("all-servers-ask-pause", all, false),
+        limitFault("server-names-limit", 1, true),
+        limitFault("all-servers-name-limit", all, false),
     };
 }
 
--- a/Tests/FaultMatrix/FaultMatrix.cc
+++ b/Tests/FaultMatrix/FaultMatrix.cc
@@ -2,9 +2,12 @@
 // fixed seeds. One line a cell; the closing line counts.
 
 #include "Tests/FaultMatrix/Cell.h"
+#include "Tests/Virtual/LimitPlay.h"
 #include "Tests/Virtual/ParallelRuns.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstddef>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -16,6 +19,7 @@
 /** A cell to be run, and its result. */
 struct Job {
     std::string name;
+    const LimitPlay* play = nullptr; // of a large fleet, in place of a cell
     Step step;
     std::vector<const Fault*> faults;
     std::uint64_t seed = 1;
@@ -113,6 +117,16 @@
     return jobs;
 }
 
+/** Limits that servers name, in fleets of the sizes that are served and planned for. */
+const std::vector<LimitPlay>& largeFleets()
+{
+    static const std::vector<LimitPlay> plays{
+        { "named-limits/473-instances", 473, 10, 10, 3, { 4 }, [](VirtualFleet&) {} },
+        { "named-limits/984-instances", 984, 10, 10, 3, { 4 }, [](VirtualFleet&) {} },
+    };
+    return plays;
+}
+
 }
 
 int main(int argc, char** argv)
@@ -129,10 +143,15 @@
         jobs.push_back(std::move(job));
     for (Job& job : wordJobs())
         jobs.push_back(std::move(job));
+    const std::size_t cells = jobs.size();
+    for (const LimitPlay& play : largeFleets())
+        jobs.push_back({ .name = play.name, .play = &play, .step = {}, .faults = {}, .broken = {} });
+    // The long ones first.
+    std::rotate(jobs.begin(), jobs.begin() + static_cast<std::ptrdiff_t>(cells), jobs.end());
     std::erase_if(jobs, [&](const Job& job) { return job.name.find(only) == std::string::npos; });
     runInParallel(jobs.size(), [&](std::size_t index) {
         Job& job = jobs[index];
-        job.broken = Cell(job.step, job.faults, job.seed).run();
+        job.broken = job.play ? played(*job.play) : Cell(job.step, job.faults, job.seed).run();
     });
     std::size_t failed = 0;
     for (const Job& job : jobs) {
--- /dev/null
+++ b/Tests/Limits/LimitBookTest.cpp
@@ -0,0 +1,85 @@
+// Which of several statements of a backend server about its limit holds:
+// answers overtake each other, lives replace each other, others tell late.
+
+#include "Limits/LimitBook.h"
+
+#include <optional>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+enum class Way {
+    Heard, // a limit in an answer
+    Answered, // an answer without one
+    Told // by another instance
+};
+
+struct Statement {
+    Way way = Way::Heard;
+    std::uint64_t life = 1;
+    std::optional<double> limit;
+    double sentAt = 0; // the answered request
+    double at = 0;
+};
+
+struct Case {
+    const char* name;
+    std::vector<Statement> statements;
+    std::optional<double> holds; // in the end, for the life below
+    std::uint64_t life = 1;
+};
+
+const std::vector<Case> Cases{
+    { "one", { { Way::Heard, 1, 3, 0, 10 } }, 3 },
+    { "a lower one of an older request", { { Way::Heard, 1, 3, 0, 10 }, { Way::Heard, 1, 2, 5, 20 } }, 2 },
+    { "a higher one of an older request", { { Way::Heard, 1, 3, 0, 10 }, { Way::Heard, 1, 8, 5, 20 } }, 3 },
+    { "a higher one of a later request", { { Way::Heard, 1, 3, 0, 10 }, { Way::Heard, 1, 8, 15, 20 } }, 8 },
+    { "none, of an older request", { { Way::Heard, 1, 3, 0, 10 }, { Way::Answered, 1, {}, 5, 20 } }, 3 },
+    { "none, of a later request", { { Way::Heard, 1, 3, 0, 10 }, { Way::Answered, 1, {}, 15, 20 } }, {} },
+    { "none, before any", { { Way::Answered, 1, {}, 5, 20 } }, {} },
+    { "again, after its end",
+        { { Way::Heard, 1, 3, 0, 10 }, { Way::Answered, 1, {}, 15, 20 }, { Way::Heard, 1, 4, 16, 30 } }, 4 },
+    { "nothing at all", { { Way::Heard, 1, 0, 0, 10 } }, 0 },
+    { "a later life", { { Way::Heard, 1, 3, 0, 10 }, { Way::Heard, 2, 9, 5, 20 } }, {}, 1 },
+    { "of an earlier life, late", { { Way::Heard, 2, 9, 0, 10 }, { Way::Heard, 1, 3, 15, 20 } }, 9, 2 },
+    { "an answer of a later life without one", { { Way::Heard, 1, 3, 0, 10 }, { Way::Answered, 2, {}, 15, 20 } }, {} },
+    { "told", { { Way::Told, 1, 5, 0, 10 } }, 5 },
+    { "told of its end, hardly later", { { Way::Heard, 1, 3, 0, 10 }, { Way::Told, 1, {}, 0, 60 } }, 3 },
+    { "told of its end, later", { { Way::Heard, 1, 3, 0, 10 }, { Way::Told, 1, {}, 0, 160 } }, {} },
+    { "told of an older one", { { Way::Heard, 1, 3, 0, 100 }, { Way::Told, 1, 1, 0, 50 } }, 3 },
+};
+
+}
+
+TEST_GROUP(LimitBook){};
+
+TEST(LimitBook, KeepsWhatWasSaidLast)
+{
+    for (const Case& item : Cases) {
+        LimitBook book({});
+        for (const Statement& said : item.statements) {
+            if (said.way == Way::Heard)
+                book.heard("s", said.life, *said.limit, { said.sentAt }, { said.at });
+            else if (said.way == Way::Answered)
+                book.answered("s", said.life, { said.sentAt });
+            else
+                book.told("s", { .life = said.life, .perSecond = said.limit, .at = { said.at } });
+        }
+        CHECK_TEXT(book.limitOf("s", item.life) == item.holds, item.name);
+    }
+}
+
+TEST(LimitBook, ForgetsTheOldestServer)
+{
+    LimitBook book({ .mostServers = 2 });
+    book.heard("a", 1, 1, {}, { 1 });
+    book.heard("b", 1, 1, {}, { 2 });
+    book.heard("c", 1, 1, {}, { 3 });
+    CHECK(!book.limitOf("a", 1));
+    CHECK(book.limitOf("c", 1).has_value());
+}
--- a/Tests/Platform/LoopbackInstance.cpp
+++ b/Tests/Platform/LoopbackInstance.cpp
@@ -65,6 +65,7 @@
     this->node.handle(event, this->clock.now(), actions);
     for (const Action& action : actions)
         std::visit([this](const auto& item) { this->execute(item); }, action);
+    this->requestTimer = this->node.nextRequestDue(this->clock.now());
 }
 
 void LoopbackInstance::tell(const std::string& key, const std::string& value, bool isRemoved)
@@ -103,8 +104,10 @@
     do {
         this->context->restart();
         this->context->run_for(toDuration(Step));
-        if (this->node.nextRequestDue(this->clock.now()) <= this->clock.now())
+        if (this->requestTimer <= this->clock.now())
             this->post(RequestTimer{});
+        if (this->node.nextControlDue() <= this->clock.now())
+            this->post(ControlTimer{});
     } while (this->clock.now() < end);
 }
 
--- a/Tests/Platform/LoopbackInstance.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -67,6 +67,7 @@
     Node node;
     std::uint16_t port;
     RequestDesk desk;
+    Milliseconds requestTimer = Never; // planned after each event
     StoreRevision revision = 0;
     unsigned calls = 0;
 };
--- a/Tests/Platform/NamedLimitsTest.cpp
+++ b/Tests/Platform/NamedLimitsTest.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t MostInWindow = 29;
 /** Seven tenths of the limit are to be used where callers want more. */
 constexpr std::size_t LeastInWindow = 11;
+/** The instance knows then how large the fleet is. */
+constexpr Milliseconds Settling{ 4500 };
 constexpr Milliseconds BetweenCalls{ 20 };
 
 /** In which answers the server names its limit. */
@@ -94,6 +96,8 @@
     /** Requests that came in the window that began half a second after the first one. */
     std::size_t counted() const
     {
+        if (this->arrivals.empty())
+            return 0;
         const Milliseconds from = this->arrivals.front() + OnItsWay;
         return static_cast<std::size_t>(std::count_if(this->arrivals.begin(), this->arrivals.end(),
             [from](Milliseconds at) { return at >= from && at < from + Window; }));
@@ -103,6 +107,7 @@
 TEST(NamedLimits, OfTheOnlyServerAreKeptAndUsed)
 {
     this->begin(Cases.front());
+    this->instance->pass(Settling);
     this->callFor(OnItsWay + Window);
     CHECK_COMPARE(this->counted(), <=, MostInWindow);
     CHECK_COMPARE(this->counted(), >=, LeastInWindow);
--- /dev/null
+++ b/Tests/Traffic/NamedLimitTest.cpp
@@ -0,0 +1,55 @@
+// The limit that a backend server names, in odd forms.
+
+#include "Traffic/NamedLimit.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+struct Case {
+    const char* name;
+    std::vector<std::string> values; // of the field, which may stand several times
+    std::optional<double> limit;
+};
+
+const std::vector<Case> Cases{
+    { "none", {}, {} },
+    { "a whole number", { "3" }, 3 },
+    { "a decimal number", { "2.7" }, 2.7 },
+    { "blanks around it", { "  2.7 " }, 2.7 },
+    { "nothing at all", { "0" }, 0 },
+    { "zero with a point", { "0.0" }, 0 },
+    { "less than nothing", { "-1" }, {} },
+    { "an exponent", { "1e3" }, {} },
+    { "text", { "few" }, {} },
+    { "no number", { "nan" }, {} },
+    { "without end", { "inf" }, {} },
+    { "an empty value", { "" }, {} },
+    { "a number and more", { "3 a second" }, {} },
+    { "twice", { "5", "2.5" }, 2.5 },
+    { "twice, once unreadable", { "x", "4" }, 4 },
+};
+
+}
+
+TEST_GROUP(NamedLimit){};
+
+TEST(NamedLimit, IsReadFromPlainNumbers)
+{
+    for (const Case& item : Cases) {
+        HttpFields fields;
+        for (const std::string& value : item.values)
+            fields.insert("Some-Limit", value);
+        CHECK_TEXT(namedLimitOf(fields, "some-limit") == item.limit, item.name);
+    }
+    HttpFields fields;
+    fields.insert("Some-Limit", std::string(400, '9'));
+    CHECK_TEXT(namedLimitOf(fields, "Some-Limit").value_or(0) > 1e9, "beyond all numbers");
+}
--- a/Tests/Virtual/VirtualBackendServer.h
+++ b/Tests/Virtual/VirtualBackendServer.h
@@ -73,7 +73,7 @@
     /** What it says of itself in each answer; a pause only where it turns something away. */
     ServerNotice notice(bool turnsAway) const
     {
-        return { .isLeaving = this->leaving, .pause = turnsAway ? this->pause : Milliseconds{} };
+        return { .isLeaving = this->leaving, .pause = turnsAway ? this->pause : Milliseconds{}, .limit = this->limit };
     }
 
     void setFault(ServerFault fault);
@@ -84,6 +84,8 @@
     /** Asks for so long a pause when it turns something away: requests while it refuses or is full, probes while it
      * refuses. */
     void setPause(Milliseconds span) { this->pause = span; }
+    /** Names in its answers how many requests a second it takes from all instances together; nothing: no limit. */
+    void setLimit(std::optional<double> perSecond) { this->limit = perSecond; }
     /** How many times longer work takes for a while, as by a noisy neighbour. */
     void setNoise(double factor);
     ServerFault fault() const { return this->present; }
@@ -123,6 +125,7 @@
     double noise = 1;
     bool leaving = false;
     Milliseconds pause;
+    std::optional<double> limit;
     bool reportIsFrozen = false;
     std::uint64_t plan = 0; // grows with each planned end; earlier ones count no more
     Milliseconds advancedAt;
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -91,11 +91,15 @@
     , nodes(givenOptions.instances)
     , messagesOf(givenOptions.instances, 0)
 {
+    for (std::size_t instance = 0; instance < this->nodes.size(); ++instance)
+        this->byAddress[this->addressOf(instance).text()] = instance;
 }
 
 NetworkAddress VirtualFleet::addressOf(std::size_t instance) const
 {
-    return { .host = "10.0.1." + std::to_string(instance + 1), .port = PeersPort };
+    constexpr std::size_t perNetwork = 250;
+    const std::string network = "10.1." + std::to_string(instance / perNetwork);
+    return { .host = network + "." + std::to_string(instance % perNetwork + 1), .port = PeersPort };
 }
 
 std::string VirtualFleet::nameOf(std::size_t instance) const
@@ -355,8 +359,10 @@
         .at = this->time.now(),
         .isListening = isListening,
         .crashesServers = caller.crashesServers });
-    const auto notSent = [this, instance, life, action] {
-        this->attemptEnded(instance, life, action, { .end = { .result = AttemptResult::NotSent }, .requestId = {} });
+    const Milliseconds sentAt = this->time.now();
+    const auto notSent = [this, instance, life, action, sentAt] {
+        this->attemptEnded(
+            instance, life, action, sentAt, { .end = { .result = AttemptResult::NotSent }, .requestId = {} });
     };
     if (!server || server->fault() == ServerFault::Dead)
         return this->time.after(this->options.toServer * 2, notSent);
@@ -369,21 +375,22 @@
         .expectedServer = expected,
         .attempt = attemptAt(instance, action.attempt),
         .crashesServers = caller.crashesServers };
-    this->time.after(this->options.toServer, [this, server, arrival, instance, life, action] {
-        server->receive(arrival, [this, instance, life, action](const ServerWord& word) {
-            this->time.after(this->options.toServer,
-                [this, instance, life, action, word] { this->attemptEnded(instance, life, action, word); });
+    this->time.after(this->options.toServer, [this, server, arrival, instance, life, action, sentAt] {
+        server->receive(arrival, [this, instance, life, action, sentAt](const ServerWord& word) {
+            this->time.after(this->options.toServer, [this, instance, life, action, sentAt, word] {
+                this->attemptEnded(instance, life, action, sentAt, word);
+            });
         });
     });
 }
 
 void VirtualFleet::attemptEnded(
-    std::size_t instance, std::uint64_t life, const SendAttempt& action, const ServerWord& word)
+    std::size_t instance, std::uint64_t life, const SendAttempt& action, Milliseconds sentAt, const ServerWord& word)
 {
     this->answers[{ instance, action.attempt }] = word.requestId;
     this->answerResults[attemptAt(instance, action.attempt)] = word.end.result;
-    this->tellNotice(
-        instance, life, { .backendServer = action.backendServer, .life = action.life, .notice = word.notice });
+    this->tellNotice(instance, life,
+        { .backendServer = action.backendServer, .life = action.life, .notice = word.notice, .sentAt = sentAt });
     this->deliver(instance, life,
         AttemptEnded{ .request = action.request,
             .attempt = action.attempt,
@@ -436,7 +443,8 @@
     const Milliseconds took = end.isAnswered ? this->options.toServer * 2 : action.probe.timeout;
     const ServerNoticed noticed{ .backendServer = action.probe.backendServer,
         .life = action.probe.life,
-        .notice = figures ? server->notice(server->fault() == ServerFault::Refuses) : ServerNotice{} };
+        .notice = figures ? server->notice(server->fault() == ServerFault::Refuses) : ServerNotice{},
+        .sentAt = this->time.now() };
     this->time.after(took, [this, instance, life, number = action.probe.number, end, noticed] {
         this->tellNotice(instance, life, noticed);
         this->deliver(instance, life, ProbeEnded{ .probe = number, .end = end });
@@ -481,18 +489,19 @@
     ++this->peerMessageCount;
     ++this->messagesOf[instance];
     this->peerByteCount += action.message.ByteSizeLong();
-    if (this->nodes[instance].isCut)
+    const auto found = this->byAddress.find(action.address.text());
+    if (found == this->byAddress.end())
         return;
-    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
-        if (this->addressOf(other) != action.address || this->nodes[other].isCut)
-            continue;
-        const std::size_t bytes = action.message.ByteSizeLong();
-        const Milliseconds sent = this->throughLink(instance, this->nodes[instance].sendsUntil, bytes);
-        this->time.after(sent - this->time.now() + this->options.toPeer,
-            [this, other, life = this->nodes[other].life, bytes, message = action.message] {
-                this->receive(other, life, bytes, PeerMessageArrived{ .message = message });
-            });
-    }
+    const std::size_t other = found->second;
+    const bool isCut = this->nodes[instance].isCut || this->nodes[other].isCut;
+    if (isCut || this->nodes[instance].side != this->nodes[other].side)
+        return;
+    const std::size_t bytes = action.message.ByteSizeLong();
+    const Milliseconds sent = this->throughLink(instance, this->nodes[instance].sendsUntil, bytes);
+    this->time.after(sent - this->time.now() + this->options.toPeer,
+        [this, other, life = this->nodes[other].life, bytes, message = action.message] {
+            this->receive(other, life, bytes, PeerMessageArrived{ .message = message });
+        });
 }
 
 void VirtualFleet::execute(std::size_t instance, const TranslateItem& action)
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -106,6 +106,8 @@
     void wake(std::size_t instance);
     void askToStop(std::size_t instance);
     void cutFromPeers(std::size_t instance, bool cut);
+    /** Instances of different sides do not hear each other. */
+    void setSide(std::size_t instance, std::size_t side) { this->nodes[instance].side = side; }
 
     /** Sends a request; gives the caller's number. */
     std::uint64_t send(std::size_t instance, const std::string& host, const std::string& method,
@@ -145,6 +147,7 @@
         std::uint64_t life = 0;
         bool isFrozen = false;
         bool isCut = false; // from the other instances
+        std::size_t side = 0; // of a divided fleet
         Milliseconds requestTimer = Never;
         Milliseconds controlTimer = Never;
         std::vector<Event> held; // arrived while it stood still
@@ -179,7 +182,8 @@
     Milliseconds throughLink(std::size_t instance, Milliseconds& busyUntil, std::size_t bytes) const;
     /** Delivers it when all of it has come through the receiver's link. */
     void receive(std::size_t instance, std::uint64_t life, std::size_t bytes, const Event& event);
-    void attemptEnded(std::size_t instance, std::uint64_t life, const SendAttempt& action, const ServerWord& word);
+    void attemptEnded(std::size_t instance, std::uint64_t life, const SendAttempt& action, Milliseconds sentAt,
+        const ServerWord& word);
     void tellNotice(std::size_t instance, std::uint64_t life, const ServerNoticed& noticed);
     void endCaller(std::uint64_t number, CallerOutcome outcome);
     VirtualBackendServer* serverAt(const NetworkAddress& address);
@@ -188,6 +192,7 @@
     VirtualTime time;
     VirtualStore store;
     std::vector<Place> nodes;
+    std::map<std::string, std::size_t> byAddress; // instances
     std::map<std::string, std::unique_ptr<VirtualBackendServer>> servers;
     std::map<std::uint64_t, VirtualCaller> callerList;
     std::map<std::pair<std::size_t, AttemptNumber>, std::string> answers; // request ids of answers, by attempt
