Soak: servers that name limits; a field that nobody reads is a finding

Seeds from 3000 on have servers that take two requests a second from all instances together; the servers themselves count what comes from instances that they told, over sliding 4 s.

--- a/Source/Node/ServerLimits.cpp
+++ b/Source/Node/ServerLimits.cpp
@@ -204,7 +204,7 @@
     return grant;
 }
 
-void ServerLimits::settle(BackendServerState& server, const PermitSchedule::Grant& grant, Milliseconds now)
+void ServerLimits::settle(BackendServerState& server, const PermitSchedule::Grant& grant, Milliseconds now) const
 {
     const Milliseconds from = now + grant.wait;
     if (grant.isGranted)
--- a/Source/Node/ServerLimits.h
+++ b/Source/Node/ServerLimits.h
@@ -104,7 +104,7 @@
     /** A permit without asking, now and then. */
     void deal(BackendServerState& server, Milliseconds now);
     PermitSchedule::Grant grant(const PermitSchedule::Wish& wish, Milliseconds now);
-    void settle(BackendServerState& server, const PermitSchedule::Grant& grant, Milliseconds now);
+    void settle(BackendServerState& server, const PermitSchedule::Grant& grant, Milliseconds now) const;
     /** This instance is the one that grants, and has been for a moment. */
     bool mayGrant(Milliseconds now);
     void asked(const peers::PermitAsk& ask, Milliseconds now, Actions& actions);
--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -100,6 +100,7 @@
     checker.check(told);
     checker.check(afterwards);
     checker.checkAllAnswered(afterwards);
+    checker.checkNothingUnread();
     if (isPlannedOnly(seed))
         checker.checkNothingCut(told);
     if (hasServerWords(seed))
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -11,6 +11,8 @@
 constexpr const char* Foreign = "not its own or not whole";
 constexpr const char* Cut = "cut: ";
 constexpr std::string_view AgainstWord = "against ";
+/** For callers; instances pass it on and need not understand it. */
+constexpr std::string_view OwnField = "Backend-Server";
 
 }
 
@@ -26,6 +28,20 @@
                 ++this->runs[line];
         }
     }
+    for (std::size_t instance = 0; instance < fleet.instanceCount(); ++instance)
+        this->readLog(fleet.pathOf("entry-" + std::to_string(instance) + ".log"));
+}
+
+void SoakChecker::readLog(const std::string& path)
+{
+    std::ifstream log(path);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("\"answer_field_unread\"") == std::string::npos)
+            continue;
+        const nlohmann::json record = nlohmann::json::parse(line, nullptr, false);
+        if (record.is_object())
+            this->unreadFields.insert(record.value("field", std::string()));
+    }
 }
 
 CallersResult SoakChecker::read(const std::string& path)
@@ -69,6 +85,14 @@
         this->note(std::to_string(count) + " requests came against a server's word: " + word);
 }
 
+void SoakChecker::checkNothingUnread()
+{
+    for (const std::string& field : this->unreadFields) {
+        if (field != OwnField)
+            this->note("nothing reads the field \"" + field + "\" of answers");
+    }
+}
+
 void SoakChecker::checkNeighbours(const CallersResult& told)
 {
     if (!told.outcomes.contains(Answered))
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -34,12 +34,17 @@
     void checkNeighbours(const CallersResult& told);
     /** Servers that said they leave or asked for a pause were left alone by whoever they told. */
     void checkWords();
+    /** Instances understood all that servers said in their answers. */
+    void checkNothingUnread();
     void note(const std::string& broken) { this->broken.push_back(broken); }
     const std::vector<std::string>& findings() const { return this->broken; }
 
 private:
+    void readLog(const std::string& path);
+
     std::map<std::string, int> runs; // by request id
     std::map<std::string, int> againstWords; // requests that came against a server's word, by word
+    std::set<std::string> unreadFields; // of answers, as instances named them in their logs
     std::vector<std::string> broken;
 };
 
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -379,6 +379,8 @@
         return setFault(serverPort, "leaving");
     case SoakFault::ServerAsksPause:
         return setFault(serverPort, "ask-pause");
+    case SoakFault::ServerNamesLimit:
+        return setFault(serverPort, "name-limit");
     case SoakFault::SilenceServer:
         return server.proxy->setFault(ProxyFault::Silent);
     case SoakFault::SilenceServerBack:
@@ -429,6 +431,7 @@
     case SoakFault::ServerSheds:
     case SoakFault::ServerCutsAnswers:
     case SoakFault::ServerAsksPause:
+    case SoakFault::ServerNamesLimit:
         return setFault(this->port(Part::Server, serverIndex), "none");
     case SoakFault::SilenceServer:
     case SoakFault::SilenceServerBack:
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -56,6 +56,7 @@
     std::string journalPath(std::size_t server) const;
     std::string pathOf(const std::string& name) const { return this->options.folder + "/" + name; }
     std::size_t servers() const { return this->options.servers; }
+    std::size_t instanceCount() const { return this->options.instances; }
     /** Names of programs that ended by themselves. */
     std::vector<std::string> failures();
 
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -14,11 +14,14 @@
     "reload-instance", "reset-callers", "cut-store", "cut-store-one-way", "refuse-store", "store-down", "store-slow",
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
     "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
-    "suspend-instance", "server-asks-pause" };
+    "suspend-instance", "server-asks-pause", "server-names-limit" };
 /** Drawn by all seeds below the first one with crashes, whose plans stay as they are. */
 constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
 constexpr std::uint64_t FirstSeedWithCrashes = 1000;
 constexpr std::uint64_t FirstSeedWithWords = 2000;
+constexpr std::uint64_t FirstSeedWithLimits = 3000;
+/** Of the faults, so many are limits. */
+constexpr double LimitShare = 0.5;
 /** Whoever begins anew or stands still may have heard nothing. */
 constexpr std::array<SoakFault, 14> BesideWords{ SoakFault::LeavingServer, SoakFault::LeavingServer,
     SoakFault::ServerAsksPause, SoakFault::ServerAsksPause, SoakFault::ServerAsksPause, SoakFault::CutStore,
@@ -41,6 +44,8 @@
 
 SoakFault drawFault(std::uint64_t seed, Random& random)
 {
+    if (hasNamedLimits(seed) && random.unit() < LimitShare)
+        return SoakFault::ServerNamesLimit;
     if (hasServerWords(seed))
         return BesideWords[random.below(BesideWords.size())];
     if (hasCrashingRequest(seed))
@@ -71,6 +76,11 @@
     return seed >= FirstSeedWithWords;
 }
 
+bool hasNamedLimits(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithLimits;
+}
+
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
 {
     Random random(options.seed);
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -35,6 +35,7 @@
     LeavingServer, // it says so in its answers
     SuspendInstance, // its clock has gone on meanwhile, its timers have not
     ServerAsksPause, // it turns requests away and says for how long it wants none
+    ServerNamesLimit, // it takes so many requests a second from all instances together
     Count
 };
 
@@ -64,6 +65,9 @@
 /** True for a run with servers that speak of themselves, in which no instance is stopped, killed or stands still. */
 bool hasServerWords(std::uint64_t seed);
 
+/** True for a run whose servers name limits besides. */
+bool hasNamedLimits(std::uint64_t seed);
+
 /** The steps of a seed in the order of their times; they overlap and come in series. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -24,6 +24,7 @@
 constexpr const char* RequestIdHeader = "Burlreach-Request-Id";
 /** Asked for where the fault says so: longer than what is on its way, and a request does not wait for it. */
 constexpr double PauseSeconds = 1.5;
+constexpr double NamedLimit = 2; // requests a second
 
 struct Options {
     std::string name;
@@ -68,6 +69,8 @@
                 + std::to_string(this->options.slots) + "," + percent);
         if (this->fault == "leaving")
             response.set_header("Burlreach-Leaving", "1");
+        if (this->fault == "name-limit")
+            response.set_header("Burlreach-Limit", std::to_string(NamedLimit));
     }
 
     bool enter()
@@ -116,6 +119,10 @@
             this->note(("against " + word).c_str(), instance);
         if (this->isFault("leaving"))
             this->words.saidLeaving(instance);
+        if (this->isFault("name-limit"))
+            this->words.namedLimit(instance, NamedLimit);
+        else
+            this->words.namedNoLimit();
         if (this->isFault("ask-pause")) {
             this->words.askedPause(instance, PauseSeconds);
             response.set_header("Retry-After", std::to_string(PauseSeconds));
--- a/Tests/StandIns/SpokenWords.cpp
+++ b/Tests/StandIns/SpokenWords.cpp
@@ -8,6 +8,11 @@
 constexpr std::chrono::milliseconds OnItsWay{ 500 };
 /** More of them than this go against a pause. */
 constexpr int MostDuringPause = 2;
+/** What a limit allows in each span of this length, counted from some time after it was named first. */
+constexpr std::chrono::seconds LimitWindow{ 4 };
+constexpr std::chrono::milliseconds LimitSettling{ 1000 };
+constexpr double LimitFactor = 1.5;
+constexpr double MostBeyondLimit = 5;
 
 }
 
@@ -30,6 +35,38 @@
         this->pauses[instance] = { .from = now + OnItsWay, .until = until };
 }
 
+void SpokenWords::namedLimit(const std::string& instance, double perSecond)
+{
+    const std::lock_guard lock(this->mutex);
+    if (instance.empty() || this->isBetweenLives)
+        return;
+    const auto now = Clock::now();
+    if (this->toldLimit.empty())
+        this->limitSince = now;
+    this->limit = perSecond;
+    this->toldLimit.emplace(instance, now);
+}
+
+void SpokenWords::namedNoLimit()
+{
+    const std::lock_guard lock(this->mutex);
+    this->toldLimit.clear();
+    this->arrivals.clear();
+}
+
+bool SpokenWords::isBeyondLimit(const std::string& instance, Clock::time_point now)
+{
+    const auto told = this->toldLimit.find(instance);
+    if (told == this->toldLimit.end() || now <= told->second + OnItsWay)
+        return false;
+    this->arrivals.push_back(now);
+    while (now - this->arrivals.front() >= LimitWindow)
+        this->arrivals.pop_front();
+    const double seconds = std::chrono::duration<double>(LimitWindow).count();
+    const double allowed = LimitFactor * this->limit * seconds + MostBeyondLimit;
+    return now > this->limitSince + LimitSettling && static_cast<double>(this->arrivals.size()) > allowed;
+}
+
 std::string SpokenWords::against(const std::string& instance)
 {
     const std::lock_guard lock(this->mutex);
@@ -37,6 +74,8 @@
     const auto said = this->leaving.find(instance);
     if (said != this->leaving.end() && now > said->second + OnItsWay)
         return "leaving";
+    if (this->isBeyondLimit(instance, now))
+        return "limit";
     const auto pause = this->pauses.find(instance);
     const bool isMeanwhile = pause != this->pauses.end() && now > pause->second.from && now < pause->second.until;
     return isMeanwhile && ++pause->second.requests > MostDuringPause ? "pause" : "";
@@ -48,6 +87,8 @@
     this->isBetweenLives = true;
     this->leaving.clear();
     this->pauses.clear();
+    this->toldLimit.clear();
+    this->arrivals.clear();
 }
 
 void SpokenWords::newLifeIsKnown()
--- a/Tests/StandIns/SpokenWords.h
+++ b/Tests/StandIns/SpokenWords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
@@ -20,6 +21,10 @@
     void saidLeaving(const std::string& instance);
     /** It asked this instance for a pause of so many seconds. */
     void askedPause(const std::string& instance, double seconds);
+    /** It named a limit in an answer to this instance: so many requests a second from all of them together. */
+    void namedLimit(const std::string& instance, double perSecond);
+    /** It answered without naming a limit: from now on it has none. */
+    void namedNoLimit();
     /** A request came from there: the word that it goes against; empty: none. */
     std::string against(const std::string& instance);
     /**
@@ -36,10 +41,16 @@
         int requests = 0; // that came meanwhile
     };
 
+    bool isBeyondLimit(const std::string& instance, Clock::time_point now);
+
     std::mutex mutex;
     bool isBetweenLives = false;
     std::map<std::string, Clock::time_point> leaving; // since when, by instance
     std::map<std::string, Pause> pauses;
+    std::map<std::string, Clock::time_point> toldLimit; // since when, by instance
+    Clock::time_point limitSince; // the first of them
+    double limit = 0; // requests a second
+    std::deque<Clock::time_point> arrivals; // in the window that the limit counts, from instances that were told
 };
 
 }
