Tell in hellos only the limits heard by the instance itself; the matrix counts limits more strictly

Each hello held all limits that were known: at 984 instances with a hundred limited servers some 10 MB a second at the three that watch, worked out from sizes. The news hold all, a hello what its sender heard.

The matrix counts by windows of one second and what a server really got. Two first forms of its check were wrong, both traced: answers that a suspended instance read after the limit had ended counted as words of a limit, and sends to the address of a server that had crashed as requests that it got.

--- a/Source/Limits/LimitBook.cpp
+++ b/Source/Limits/LimitBook.cpp
@@ -12,12 +12,13 @@
 LimitChange LimitBook::heard(
     const std::string& backendServer, std::uint64_t life, double perSecond, Milliseconds sentAt, Milliseconds now)
 {
-    return this->take(backendServer, { .life = life, .perSecond = perSecond, .at = now }, sentAt);
+    return this->take(backendServer, { .life = life, .perSecond = perSecond, .at = now, .isHeardHere = true }, sentAt);
 }
 
 LimitChange LimitBook::answered(const std::string& backendServer, std::uint64_t life, Milliseconds sentAt)
 {
-    return this->take(backendServer, { .life = life, .perSecond = std::nullopt, .at = sentAt }, sentAt);
+    return this->take(
+        backendServer, { .life = life, .perSecond = std::nullopt, .at = sentAt, .isHeardHere = true }, sentAt);
 }
 
 LimitChange LimitBook::told(const std::string& backendServer, const LimitStatement& statement)
--- a/Source/Limits/LimitBook.h
+++ b/Source/Limits/LimitBook.h
@@ -16,6 +16,7 @@
     std::uint64_t life = 0;
     std::optional<double> perSecond; // requests that it takes from all instances together; nothing: no limit any more
     Milliseconds at; // heard then; of one that ends a limit: the answered request was sent then
+    bool isHeardHere = false; // in an answer to this instance
 };
 
 /** What a statement changed. */
--- a/Source/Node/NewsExchange.cpp
+++ b/Source/Node/NewsExchange.cpp
@@ -333,7 +333,7 @@
     *hello->mutable_member() = this->options.self;
     hello->set_store_revision(this->parts.store->view().revision());
     this->parts.signs->fill(*hello->mutable_leaving_signs(), now);
-    this->parts.limits->fill(*hello->mutable_limits(), now);
+    this->parts.limits->fill(*hello->mutable_limits(), true, now);
     this->parts.crashes->fillWithOwn(*hello->mutable_crashes(), now);
     this->parts.rollouts->fill(*hello->mutable_rollouts());
     return message;
@@ -350,7 +350,7 @@
         *news->add_watchers() = watcher;
     news->set_member_count(static_cast<std::uint32_t>(this->instances(now)));
     this->parts.signs->fill(*news->mutable_leaving_signs(), now);
-    this->parts.limits->fill(*news->mutable_limits(), now);
+    this->parts.limits->fill(*news->mutable_limits(), false, now);
     // By all watchers: when the leading one is lost, 3 s pass until the next one knows that it leads.
     this->parts.crashes->fillWithAll(*news->mutable_crashes(), now);
     const bool tellsContacts = this->newsNumber % NewsPerContacts == 0 && this->members.size();
--- a/Source/Node/ServerLimits.cpp
+++ b/Source/Node/ServerLimits.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/** In one message: 4 KB. More limits than these are told by turns, the latest heard first. */
+/** In one message, the latest heard first: 4 KB. */
 constexpr std::size_t MostTold = 100;
 /** Of times told to other instances. */
 constexpr double LongestTold = 60000;
@@ -292,11 +292,12 @@
     this->note(message.backend_server(), change, way, now, actions);
 }
 
-void ServerLimits::fill(Messages& messages, Milliseconds now) const
+void ServerLimits::fill(Messages& messages, bool onlyHeardHere, Milliseconds now) const
 {
     std::vector<std::pair<Milliseconds, const std::string*>> latest;
     for (const auto& [backendServer, statement] : this->parts.book->all()) {
-        if (now - statement.at <= this->options.toldFor)
+        const bool isTold = statement.isHeardHere || !onlyHeardHere;
+        if (isTold && now - statement.at <= this->options.toldFor)
             latest.emplace_back(statement.at, &backendServer);
     }
     std::sort(latest.begin(), latest.end(), [](const auto& left, const auto& right) { return left > right; });
--- a/Source/Node/ServerLimits.h
+++ b/Source/Node/ServerLimits.h
@@ -74,7 +74,8 @@
     void begun(const ServiceState& service, Milliseconds now, Actions& actions);
 
     void receive(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
-    void fill(Messages& messages, Milliseconds now) const;
+    /** What is worth telling: all that is known, or what was heard here. */
+    void fill(Messages& messages, bool onlyHeardHere, Milliseconds now) const;
     /** What another instance told, to this one or with the news that go to all. */
     void receive(const Messages& messages, bool isNews, Milliseconds now, Actions& actions);
     /** When those who do not know yet should be told at once what was heard here. */
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -201,6 +201,7 @@
     emptied.add_emptied_data_centres(EmptiedDataCentre);
     const StoreRevision changed = this->fleet.configure(emptied);
     this->load(UnderFault);
+    const Milliseconds limitsEndAt = this->fleet.now();
     for (const Fault* fault : this->faults)
         fault->heal(this->fleet);
     const Milliseconds healedAt = std::max(this->fleet.now(), this->lastsUntil);
@@ -222,9 +223,9 @@
     if (this->allConfined())
         promises.checkUsed(ServersThere[1], this->drainedAt);
     std::vector<std::string> broken = promises.broken();
-    // Shorter than in service: the fleet is small, and the fault does not last long.
-    constexpr LimitBound limits{ .settling = { 1000 } };
-    for (const std::string& sentence : limitsExceeded(this->fleet, limits))
+    // Stricter than in service: the fleet is small, and the fault does not last long.
+    constexpr LimitBound limits{ .window = { 1000 }, .factor = 1, .settling = { 1000 } };
+    for (const std::string& sentence : limitsExceeded(this->fleet, limits, limitsEndAt))
         broken.push_back(sentence);
     for (const std::string& sentence : sentAgainstWords(this->fleet))
         broken.push_back(sentence);
--- a/Tests/Virtual/LimitPlay.cpp
+++ b/Tests/Virtual/LimitPlay.cpp
@@ -40,7 +40,8 @@
 {
     std::vector<Milliseconds> times;
     for (const SentAttempt& attempt : fleet.sentAttempts()) {
-        if (attempt.backendServer.find("/" + server + "@") != std::string::npos && attempt.at >= from)
+        const bool isThere = attempt.backendServer.find("/" + server + "@") != std::string::npos;
+        if (isThere && attempt.isListening && attempt.at >= from)
             times.push_back(attempt.at);
     }
     return times;
--- a/Tests/Virtual/LimitsKept.cpp
+++ b/Tests/Virtual/LimitsKept.cpp
@@ -41,17 +41,17 @@
         const auto known = heard.find({ attempt.instance, attempt.life });
         if (known == heard.end() || !isServer(attempt.backendServer, server))
             continue;
-        if (attempt.at >= known->second + bound.onItsWay)
+        // Where nobody listens the server gets nothing.
+        if (attempt.isListening && attempt.at >= known->second + bound.onItsWay)
             times.push_back(attempt.at);
     }
     return times;
 }
 
-std::vector<std::string> limitsExceeded(const VirtualFleet& fleet, const LimitBound& bound)
+std::vector<std::string> limitsExceeded(const VirtualFleet& fleet, const LimitBound& bound, Milliseconds until)
 {
     struct Word {
         Milliseconds first = Never;
-        Milliseconds last = LongAgo;
         double highest = 0;
     };
     std::map<std::string, Word> words;
@@ -60,14 +60,13 @@
             continue;
         Word& word = words[notice.backendServer];
         word.first = std::min(word.first, notice.at);
-        word.last = std::max(word.last, notice.at);
         word.highest = std::max(word.highest, *notice.notice.limit);
     }
     std::vector<std::string> found;
     for (const auto& [id, word] : words) {
         const std::size_t nameAt = id.find('/') + 1;
         auto times = sentDespiteWord(fleet, id.substr(nameAt, id.find('@') - nameAt), bound);
-        std::erase_if(times, [last = word.last](Milliseconds at) { return at > last; });
+        std::erase_if(times, [until](Milliseconds at) { return at > until; });
         const double allowed = bound.factor * word.highest * (bound.window / Second) + bound.more;
         const std::size_t most = mostInWindow(std::move(times), bound.window, word.first + bound.settling);
         if (static_cast<double>(most) > allowed)
--- a/Tests/Virtual/LimitsKept.h
+++ b/Tests/Virtual/LimitsKept.h
@@ -22,13 +22,13 @@
 std::size_t mostInWindow(std::vector<Milliseconds> times, Milliseconds window, Milliseconds endsAfter);
 
 /**
- * When requests were sent to this backend server by lives of instances that had
+ * When requests came to this backend server from lives of instances that had
  * heard from the server itself, long enough before, that it has a limit.
  */
 std::vector<Milliseconds> sentDespiteWord(
     const VirtualFleet& fleet, const std::string& server, const LimitBound& bound);
 
-/** The servers that got more than their limits allowed as long as they named them, a sentence each. */
-std::vector<std::string> limitsExceeded(const VirtualFleet& fleet, const LimitBound& bound);
+/** The servers that got more than their limits allowed until they named them no more, a sentence each. */
+std::vector<std::string> limitsExceeded(const VirtualFleet& fleet, const LimitBound& bound, Milliseconds until);
 
 }
