--- a/Tests/Platform/NamedLimitsTest.cpp
+++ b/Tests/Platform/NamedLimitsTest.cpp
@@ -25,9 +25,9 @@
 /** What was under way when the server spoke first. */
 constexpr Milliseconds OnItsWay{ 500 };
 /** What the platform allows in a window: one and a half times the limit, and five requests. */
-constexpr std::size_t MostInWindow = 29;
+constexpr auto MostInWindow = static_cast<std::size_t>(1.5 * Limit * (Window / Second) + 5);
 /** Seven tenths of the limit are to be used where callers want more. */
-constexpr std::size_t LeastInWindow = 11;
+constexpr auto LeastInWindow = static_cast<std::size_t>(0.7 * Limit * (Window / Second));
 /** The instance knows then how large the fleet is. */
 constexpr Milliseconds Settling{ 4500 };
 constexpr Milliseconds BetweenCalls{ 20 };
@@ -82,7 +82,7 @@
     }
 
     /** Calls one after another for the span; gives how many of them were answered. */
-    std::size_t callFor(Milliseconds span)
+    std::size_t callFor(Milliseconds span) const
     {
         std::size_t answered = 0;
         const Milliseconds end = this->clock.now() + span;
