--- a/Tests/Platform/NamedLimitsTest.cpp
+++ b/Tests/Platform/NamedLimitsTest.cpp
@@ -21,13 +21,14 @@
 namespace {
 
 constexpr double Limit = 4; // requests a second
-constexpr Milliseconds Window{ 4000 };
+constexpr double WindowSeconds = 4;
+constexpr Milliseconds Window{ 1000 * WindowSeconds };
 /** What was under way when the server spoke first. */
 constexpr Milliseconds OnItsWay{ 500 };
 /** What the platform allows in a window: one and a half times the limit, and five requests. */
-constexpr auto MostInWindow = static_cast<std::size_t>(1.5 * Limit * (Window / Second) + 5);
+constexpr auto MostInWindow = static_cast<std::size_t>(1.5 * Limit * WindowSeconds + 5);
 /** Seven tenths of the limit are to be used where callers want more. */
-constexpr auto LeastInWindow = static_cast<std::size_t>(0.7 * Limit * (Window / Second));
+constexpr auto LeastInWindow = static_cast<std::size_t>(0.7 * Limit * WindowSeconds);
 /** The instance knows then how large the fleet is. */
 constexpr Milliseconds Settling{ 4500 };
 constexpr Milliseconds BetweenCalls{ 20 };
