Log how an attempt got its connection

A connection that this instance gave up, or that failed for want of a local resource, is no longer taken for a refused or silent server.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -67,11 +67,13 @@
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(this->options.address.host, error), this->options.address.port);
     this->connection = std::make_shared<HttpConnection>(asio::ip::tcp::socket(*this->context));
+    this->connectError = asio::error::timed_out; // until the connection is established or fails
     this->startTimeout(std::min(this->options.connectTimeout, this->options.timeout), HttpExchangeResult::NotSent);
     this->connection->socket.async_connect(
         endpoint, [self = this->shared_from_this()](const asio::error_code& failure) {
             if (self->isFinished)
                 return;
+            self->connectError = failure;
             if (failure)
                 return self->finish(HttpExchangeResult::NotSent, std::nullopt);
             asio::error_code ignored;
@@ -184,6 +186,8 @@
     this->timer.cancel();
     HttpExchangeEnd end;
     end.result = result;
+    end.isReused = this->isReused;
+    end.connectError = this->connectError;
     if (response && this->mayReuseConnection(*response)) {
         const double seconds = keepAliveSeconds(*response);
         if (seconds >= 0)
@@ -199,8 +203,10 @@
 
 void HttpExchange::abortUnsent()
 {
-    if (!this->isFinished && !this->isWritingBegun)
-        this->finish(HttpExchangeResult::NotSent, std::nullopt);
+    if (this->isFinished || this->isWritingBegun)
+        return;
+    this->connectError = asio::error::operation_aborted;
+    this->finish(HttpExchangeResult::NotSent, std::nullopt);
 }
 
 void HttpExchange::cancel()
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 
 namespace burlreach {
 
@@ -28,6 +29,8 @@
     HttpExchangeResult result = HttpExchangeResult::Broken;
     std::optional<HttpResponse> response;
     std::shared_ptr<HttpConnection> connection; // may be reused; null: it was closed
+    bool isReused = false; // the exchange began on a kept connection
+    std::error_code connectError; // why no new connection was established; timed_out when nothing answered
 };
 
 /**
@@ -99,6 +102,7 @@
     bool isWritingBegun = false;
     bool isWritten = false;
     bool isReused = false;
+    std::error_code connectError;
     bool hasSkippedAnswer = false; // an answer to another request was skipped
     bool isHeaderReported = false; // headerReceived was called for the answer that is being read
     bool isFinished = false;
--- a/Source/Http/OpenConnection.cpp
+++ b/Source/Http/OpenConnection.cpp
@@ -14,17 +14,20 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
     const auto connection = std::make_shared<HttpConnection>(asio::ip::tcp::socket(context));
     const auto timer = std::make_shared<Timer>(context);
+    const auto isExpired = std::make_shared<bool>(false);
     timer->expires_after(toDuration(timeout));
-    timer->async_wait([connection](const asio::error_code& cancelled) {
+    timer->async_wait([connection, isExpired](const asio::error_code& cancelled) {
+        if (cancelled)
+            return;
+        *isExpired = true;
         asio::error_code ignored;
-        if (!cancelled)
-            connection->socket.close(ignored);
+        connection->socket.close(ignored);
     });
     connection->socket.async_connect(
-        endpoint, [connection, timer, opened = std::move(opened)](const asio::error_code& failure) {
+        endpoint, [connection, timer, isExpired, opened = std::move(opened)](const asio::error_code& failure) {
             timer->cancel();
             if (failure)
-                return opened(failure, nullptr);
+                return opened(*isExpired ? asio::error::timed_out : failure, nullptr);
             asio::error_code ignored;
             connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             connection->socket.non_blocking(true, ignored);
--- a/Source/Http/OpenConnection.h
+++ b/Source/Http/OpenConnection.h
@@ -9,7 +9,7 @@
 
 namespace burlreach {
 
-/** Called with the connection, or with an error: asio::error::operation_aborted if it was not made in time. */
+/** Called with the connection, or with an error: asio::error::timed_out if it was not made in time. */
 using ConnectionOpened = std::function<void(const asio::error_code&, std::shared_ptr<HttpConnection>)>;
 
 /** Opens a connection to a server without sending a request. */
--- a/Source/Node/CrashingRequestDetector.cpp
+++ b/Source/Node/CrashingRequestDetector.cpp
@@ -98,11 +98,13 @@
 void CrashingRequestDetector::handleServerCheck(const ServerChecked& event, Milliseconds now, Actions& actions)
 {
     switch (event.result) {
-    case ServerCheck::ConnectionRefused:
+    case ConnectOutcome::Refused:
         return this->handleServerCrash(event.backendServer, now, actions);
-    case ServerCheck::Connected:
+    case ConnectOutcome::Reused:
+    case ConnectOutcome::Connected:
         return this->broken.connectionEstablished(event.backendServer, now);
-    case ServerCheck::NoAnswer:
+    case ConnectOutcome::NoAnswer:
+    case ConnectOutcome::Abandoned:
         // A network failure breaks connections as well, so nothing is known about the process.
         return this->broken.forget(event.backendServer);
     }
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -8,6 +8,7 @@
 #include "Measurement/ProbeManager.h"
 #include "Metrics/Reasons.h"
 #include "Routing/AttemptResult.h"
+#include "Routing/ConnectOutcome.h"
 #include "Routing/ServerNotice.h"
 #include "Store/StoreCall.h"
 #include "operators.pb.h"
@@ -78,17 +79,10 @@
     ProbeEnd end;
 };
 
-/** The result of opening a new connection to a backend server. */
-enum class ServerCheck {
-    ConnectionRefused, // connection refused: the process has ended
-    Connected, // connected
-    NoAnswer // the backend server or the network may be down
-};
-
 /** A check requested by CheckServer has ended. */
 struct ServerChecked {
     std::string backendServer;
-    ServerCheck result = ServerCheck::NoAnswer;
+    ConnectOutcome result = ConnectOutcome::NoAnswer;
 };
 
 /** A message of another instance arrived. */
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -61,6 +61,7 @@
     DecisionRecord record = recordOfRequest(RecordTopic::Refusal, "attempt_failed", request);
     record.with("server", flight.server->id())
         .with("result", burlreach::nameOf(end.result))
+        .with("connect", burlreach::nameOf(end.connect))
         .with("status", static_cast<std::uint64_t>(end.status))
         .with("took", (now - flight.sentAt).count);
     // The server may have crashed while running the request; these fields identify the same request in other records.
--- a/Source/Routing/AttemptResult.h
+++ b/Source/Routing/AttemptResult.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Milliseconds.h"
+#include "Routing/ConnectOutcome.h"
 
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,7 @@
     std::optional<ReportedLoad> load;
     int status = 0; // HTTP status of the answer; 0: no answer
     bool claimsNotRun = false; // the status implies "not run", but the answer does not prove it
+    ConnectOutcome connect = ConnectOutcome::Connected;
 };
 
 }
--- /dev/null
+++ b/Source/Routing/ConnectOutcome.cpp
@@ -0,0 +1,22 @@
+#include "Routing/ConnectOutcome.h"
+
+namespace burlreach {
+
+std::string_view nameOf(ConnectOutcome outcome)
+{
+    switch (outcome) {
+    case ConnectOutcome::Reused:
+        return "reused";
+    case ConnectOutcome::Connected:
+        return "connected";
+    case ConnectOutcome::Refused:
+        return "refused";
+    case ConnectOutcome::NoAnswer:
+        return "no_answer";
+    case ConnectOutcome::Abandoned:
+        break;
+    }
+    return "abandoned";
+}
+
+}
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -21,6 +21,22 @@
     return problem == HttpRequestProblem::BodyTooLarge ? RefusalReason::BodyTooLarge : RefusalReason::BadRequest;
 }
 
+ConnectOutcome connectOutcomeOf(const std::error_code& error)
+{
+    if (!error)
+        return ConnectOutcome::Connected;
+    if (error == asio::error::connection_refused || error == asio::error::connection_reset)
+        return ConnectOutcome::Refused;
+    const bool isSilent = error == asio::error::timed_out || error == asio::error::host_unreachable
+        || error == asio::error::network_unreachable;
+    return isSilent ? ConnectOutcome::NoAnswer : ConnectOutcome::Abandoned;
+}
+
+ConnectOutcome connectOutcomeOf(const HttpExchangeEnd& end)
+{
+    return end.isReused ? ConnectOutcome::Reused : connectOutcomeOf(end.connectError);
+}
+
 http::status statusOf(HttpRequestProblem problem)
 {
     switch (problem) {
@@ -208,9 +224,13 @@
 
 AttemptEnd RequestForwarder::attemptEndOf(const HttpExchangeEnd& end, const std::string& backendServer) const
 {
-    if (end.response)
-        return this->dependencies.dialect->readAnswer(*end.response, backendServer);
+    if (end.response) {
+        AttemptEnd answered = this->dependencies.dialect->readAnswer(*end.response, backendServer);
+        answered.connect = connectOutcomeOf(end);
+        return answered;
+    }
     AttemptEnd failed;
+    failed.connect = connectOutcomeOf(end);
     const bool isNotSent = end.result == HttpExchangeResult::NotSent;
     failed.result = isNotSent ? AttemptResult::NotSent : AttemptResult::Broken;
     if (end.result == HttpExchangeResult::TimedOut)
@@ -341,14 +361,10 @@
 {
     openConnection(*this->context, action.address, this->options.connectTimeout,
         [this, server = action.backendServer](const asio::error_code& error, std::shared_ptr<HttpConnection> opened) {
-            ServerChecked checked{ .backendServer = server, .result = ServerCheck::Connected };
-            if (error == asio::error::connection_refused)
-                checked.result = ServerCheck::ConnectionRefused;
-            else if (error)
-                checked.result = ServerCheck::NoAnswer;
             if (opened)
                 this->connections.add(server, std::move(opened));
-            this->dependencies.sink->post(checked);
+            this->dependencies.sink->post(
+                ServerChecked{ .backendServer = server, .result = connectOutcomeOf(error) });
         });
 }
 
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -457,8 +457,8 @@
     const VirtualBackendServer* server = this->serverAt(action.address);
     const bool isDark = server && server->fault() == ServerFault::Dark;
     const bool isListening = server && server->fault() != ServerFault::Dead;
-    const ServerCheck there = isListening ? ServerCheck::Connected : ServerCheck::ConnectionRefused;
-    const ServerCheck result = isDark ? ServerCheck::NoAnswer : there;
+    const ConnectOutcome there = isListening ? ConnectOutcome::Connected : ConnectOutcome::Refused;
+    const ConnectOutcome result = isDark ? ConnectOutcome::NoAnswer : there;
     this->time.after(isDark ? this->options.connectTimeout : this->options.toServer * 2,
         [this, instance, life, result, id = action.backendServer] {
             this->deliver(instance, life, ServerChecked{ .backendServer = id, .result = result });
