--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -207,6 +207,44 @@
     this->nodes[instance].isCut = cut;
 }
 
+void VirtualFleet::cutFromServers(std::size_t instance, ServerCut cut, const std::set<std::string>& servers)
+{
+    this->nodes[instance].serverCut = cut;
+    this->nodes[instance].cutServers = servers;
+}
+
+ServerCut VirtualFleet::cutBetween(std::size_t instance, const VirtualBackendServer* server) const
+{
+    const Place& place = this->nodes[instance];
+    if (!server || (!place.cutServers.empty() && !place.cutServers.contains(server->id())))
+        return ServerCut::None;
+    return place.serverCut;
+}
+
+ConnectOutcome VirtualFleet::connectOutcome(std::size_t instance, const VirtualBackendServer* server) const
+{
+    if (server && server->fault() == ServerFault::Dark)
+        return ConnectOutcome::NoAnswer;
+    switch (this->cutBetween(instance, server)) {
+    case ServerCut::None:
+        break;
+    case ServerCut::Silent:
+    case ServerCut::OneWay:
+    case ServerCut::NewSilent:
+        return ConnectOutcome::NoAnswer;
+    case ServerCut::Reset:
+    case ServerCut::NewRefused:
+        return ConnectOutcome::Refused;
+    }
+    const bool isListening = server && server->fault() != ServerFault::Dead;
+    return isListening ? ConnectOutcome::Connected : ConnectOutcome::Refused;
+}
+
+Milliseconds VirtualFleet::connectTime(ConnectOutcome outcome) const
+{
+    return outcome == ConnectOutcome::NoAnswer ? this->options.connectTimeout : this->options.toServer * 2;
+}
+
 void VirtualFleet::tell(std::size_t instance, std::string_view step) const
 {
     if (this->observer && !step.empty())
@@ -350,24 +388,22 @@
     const VirtualCaller& caller = this->callerList.at(action.request);
     const std::string requestId = caller.requestId;
     VirtualBackendServer* server = this->serverAt(action.address);
-    const bool isListening = server && server->fault() != ServerFault::Dead && server->fault() != ServerFault::Dark;
+    const ConnectOutcome connect = this->connectOutcome(instance, server);
     this->sent.push_back({ .instance = instance,
         .life = life,
         .requestId = requestId,
         .customer = action.customer,
         .backendServer = action.backendServer,
         .at = this->time.now(),
-        .isListening = isListening,
+        .isListening = connect == ConnectOutcome::Connected,
         .crashesServers = caller.crashesServers });
     const Milliseconds sentAt = this->time.now();
-    const auto notSent = [this, instance, life, action, sentAt] {
-        this->attemptEnded(
-            instance, life, action, sentAt, { .end = { .result = AttemptResult::NotSent }, .requestId = {} });
-    };
-    if (!server || server->fault() == ServerFault::Dead)
-        return this->time.after(this->options.toServer * 2, notSent);
-    if (server->fault() == ServerFault::Dark)
-        return this->time.after(this->options.connectTimeout, notSent);
+    if (connect != ConnectOutcome::Connected) {
+        return this->time.after(this->connectTime(connect), [this, instance, life, action, sentAt, connect] {
+            const AttemptEnd end{ .result = AttemptResult::NotSent, .connect = connect };
+            this->attemptEnded(instance, life, action, sentAt, { .end = end, .requestId = {} });
+        });
+    }
     // A full server id contains service and address; the fakes know only the name in it.
     const bool isMeant = action.backendServer.find("/" + server->id() + "@") != std::string::npos;
     const std::string expected = isMeant ? server->id() : action.backendServer;
@@ -376,9 +412,13 @@
         .attempt = attemptAt(instance, action.attempt),
         .crashesServers = caller.crashesServers };
     this->time.after(this->options.toServer, [this, server, arrival, instance, life, action, sentAt] {
-        server->receive(arrival, [this, instance, life, action, sentAt](const ServerWord& word) {
-            this->time.after(this->options.toServer, [this, instance, life, action, sentAt, word] {
-                this->attemptEnded(instance, life, action, sentAt, word);
+        server->receive(arrival, [this, server, instance, life, action, sentAt](const ServerWord& word) {
+            this->time.after(this->options.toServer, [this, server, instance, life, action, sentAt, word] {
+                const ServerCut cut = this->cutBetween(instance, server);
+                if (cut == ServerCut::Silent || cut == ServerCut::OneWay)
+                    return;
+                const ServerWord reset{ .end = { .result = AttemptResult::Broken }, .requestId = {} };
+                this->attemptEnded(instance, life, action, sentAt, cut == ServerCut::Reset ? reset : word);
             });
         });
     });
@@ -435,10 +475,11 @@
     this->probeList.push_back(
         { .instance = instance, .life = life, .backendServer = action.probe.backendServer, .at = this->time.now() });
     VirtualBackendServer* server = this->serverAt(action.probe.address);
-    const auto figures = server ? server->probed() : std::nullopt;
+    const bool isCut = this->cutBetween(instance, server) != ServerCut::None;
+    const auto figures = server && !isCut ? server->probed() : std::nullopt;
     ProbeEnd end;
-    end.isAnswered = figures.has_value() || (server && server->fault() == ServerFault::Replaced);
-    end.isOtherServer = server && server->fault() == ServerFault::Replaced;
+    end.isOtherServer = server && !isCut && server->fault() == ServerFault::Replaced;
+    end.isAnswered = figures.has_value() || end.isOtherServer;
     end.load = figures;
     const Milliseconds took = end.isAnswered ? this->options.toServer * 2 : action.probe.timeout;
     const ServerNoticed noticed{ .backendServer = action.probe.backendServer,
@@ -454,13 +495,8 @@
 void VirtualFleet::execute(std::size_t instance, const CheckServer& action)
 {
     const std::uint64_t life = this->nodes[instance].life;
-    const VirtualBackendServer* server = this->serverAt(action.address);
-    const bool isDark = server && server->fault() == ServerFault::Dark;
-    const bool isListening = server && server->fault() != ServerFault::Dead;
-    const ConnectOutcome there = isListening ? ConnectOutcome::Connected : ConnectOutcome::Refused;
-    const ConnectOutcome result = isDark ? ConnectOutcome::NoAnswer : there;
-    this->time.after(isDark ? this->options.connectTimeout : this->options.toServer * 2,
-        [this, instance, life, result, id = action.backendServer] {
+    const ConnectOutcome result = this->connectOutcome(instance, this->serverAt(action.address));
+    this->time.after(this->connectTime(result), [this, instance, life, result, id = action.backendServer] {
             this->deliver(instance, life, ServerChecked{ .backendServer = id, .result = result });
         });
 }
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -46,6 +46,16 @@
     Milliseconds at;
 };
 
+/** What happens to the connections of an instance to backend servers that a network failure cuts it off from. */
+enum class ServerCut {
+    None,
+    Silent, // packets are lost in both directions
+    OneWay, // packets from the servers are lost
+    Reset, // open connections are reset and new ones refused
+    NewRefused, // open connections live on, new ones are refused
+    NewSilent // open connections live on, new ones are never established
+};
+
 /** A request as a caller sends it. */
 struct VirtualRequest {
     std::string host = "bookings.example";
@@ -107,6 +117,8 @@
     void wake(std::size_t instance);
     void askToStop(std::size_t instance);
     void cutFromPeers(std::size_t instance, bool cut);
+    /** Cuts the instance off from these backend servers, or from all if none is named; None heals the cut. */
+    void cutFromServers(std::size_t instance, ServerCut cut, const std::set<std::string>& servers = {});
     /** Partitions the fleet: instances of different sides do not receive each other's messages. */
     void setSide(std::size_t instance, std::size_t side) { this->nodes[instance].side = side; }
 
@@ -148,6 +160,8 @@
         std::uint64_t life = 0;
         bool isFrozen = false;
         bool isCut = false; // no messages to or from other instances
+        ServerCut serverCut = ServerCut::None;
+        std::set<std::string> cutServers; // empty: all of them, if there is a cut
         std::size_t side = 0; // partition to which the instance belongs
         Milliseconds requestTimer = Never;
         Milliseconds controlTimer = Never;
@@ -188,6 +202,10 @@
     void tellNotice(std::size_t instance, std::uint64_t life, const ServerNoticed& noticed);
     void endCaller(std::uint64_t number, CallerOutcome outcome);
     VirtualBackendServer* serverAt(const NetworkAddress& address);
+    ServerCut cutBetween(std::size_t instance, const VirtualBackendServer* server) const;
+    /** How a new connection from the instance to the server ends; null: nothing has the address. */
+    ConnectOutcome connectOutcome(std::size_t instance, const VirtualBackendServer* server) const;
+    Milliseconds connectTime(ConnectOutcome outcome) const;
 
     Options options;
     VirtualTime time;
