--- a/Source/Admission/RetryAfterDelay.cpp
+++ b/Source/Admission/RetryAfterDelay.cpp
@@ -30,7 +30,8 @@
 
 Milliseconds computeRetryAfter(RefusalReason reason, Milliseconds targetLatency, double random)
 {
-    if (reason == RefusalReason::NoBackendServer || reason == RefusalReason::DataCentreEmptied)
+    if (reason == RefusalReason::NoBackendServer || reason == RefusalReason::DataCentreEmptied
+        || reason == RefusalReason::NoPath)
         return DefaultRetryAfter;
     const double share = reason == RefusalReason::BackendServersRefused ? EarlyRetryShare : 1;
     return std::clamp(targetLatency * (share * (1 + random)), ShortestDelay, LongestDelay);
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -64,11 +64,15 @@
 void HttpExchange::connect()
 {
     asio::error_code error;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(this->options.address.host, error), this->options.address.port);
+    const std::optional<RelayTarget>& relay = this->options.relay;
+    const NetworkAddress& address = relay ? relay->relay : this->options.address;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
     this->connection = std::make_shared<HttpConnection>(asio::ip::tcp::socket(*this->context));
     this->connectError = asio::error::timed_out; // until the connection is established or fails
-    this->startTimeout(std::min(this->options.connectTimeout, this->options.timeout), HttpExchangeResult::NotSent);
+    if (relay)
+        this->relayReply = RelayReply::Unavailable; // until the relay has answered
+    const Milliseconds longest = relay ? this->options.relayTimeout : this->options.connectTimeout;
+    this->startTimeout(std::min(longest, this->options.timeout), HttpExchangeResult::NotSent);
     this->connection->socket.async_connect(
         endpoint, [self = this->shared_from_this()](const asio::error_code& failure) {
             if (self->isFinished)
@@ -76,11 +80,29 @@
             self->connectError = failure;
             if (failure)
                 return self->finish(HttpExchangeResult::NotSent, std::nullopt);
-            asio::error_code ignored;
-            self->connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            self->connection->socket.non_blocking(true, ignored);
-            self->startTimeout(self->options.timeout, HttpExchangeResult::TimedOut);
-            self->write();
+            self->connected();
+        });
+}
+
+void HttpExchange::connected()
+{
+    asio::error_code ignored;
+    this->connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->connection->socket.non_blocking(true, ignored);
+    const auto begin = [self = this->shared_from_this()] {
+        self->startTimeout(self->options.timeout, HttpExchangeResult::TimedOut);
+        self->write();
+    };
+    if (!this->options.relay)
+        return begin();
+    requestRelay(this->connection, this->options.relay->backendServer,
+        [self = this->shared_from_this(), begin](RelayReply reply) {
+            if (self->isFinished)
+                return;
+            self->relayReply = reply;
+            if (reply != RelayReply::Connected)
+                return self->finish(HttpExchangeResult::NotSent, std::nullopt);
+            begin();
         });
 }
 
@@ -176,8 +198,8 @@
 
 bool HttpExchange::mayReuseConnection(const HttpResponse& response) const
 {
-    return this->isWritten && !this->hasSkippedAnswer && this->input.empty() && response.keep_alive()
-        && !response.need_eof();
+    return !this->options.relay && this->isWritten && !this->hasSkippedAnswer && this->input.empty()
+        && response.keep_alive() && !response.need_eof();
 }
 
 void HttpExchange::finish(HttpExchangeResult result, std::optional<HttpResponse> response)
@@ -188,6 +210,7 @@
     end.result = result;
     end.isReused = this->isReused;
     end.connectError = this->connectError;
+    end.relayReply = this->relayReply;
     if (response && this->mayReuseConnection(*response)) {
         const double seconds = keepAliveSeconds(*response);
         if (seconds >= 0)
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -4,6 +4,7 @@
 #include "Base/NetworkAddress.h"
 #include "Http/HttpConnection.h"
 #include "Http/HttpMessage.h"
+#include "Http/RelayRequest.h"
 #include "Timers/Timer.h"
 
 #include <array>
@@ -31,6 +32,7 @@
     std::shared_ptr<HttpConnection> connection; // may be reused; null: it was closed
     bool isReused = false; // the exchange began on a kept connection
     std::error_code connectError; // why no new connection was established; timed_out when nothing answered
+    std::optional<RelayReply> relayReply; // of the instance through which a new connection was opened
 };
 
 /**
@@ -45,6 +47,8 @@
 public:
     struct Options {
         NetworkAddress address;
+        std::optional<RelayTarget> relay; // connect through this instance; such a connection is used once
+        Milliseconds relayTimeout{ 400 }; // in place of connectTimeout, for the connections to and from the relay
         std::string request; // encoded
         bool isHeadRequest = false; // a HEAD request; its answer has no body
         Milliseconds connectTimeout{ 250 };
@@ -76,6 +80,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void connect();
+    void connected();
     void write();
     void read();
     void received(const asio::error_code& error, std::size_t size);
@@ -103,6 +108,7 @@
     bool isWritten = false;
     bool isReused = false;
     std::error_code connectError;
+    std::optional<RelayReply> relayReply;
     bool hasSkippedAnswer = false; // an answer to another request was skipped
     bool isHeaderReported = false; // headerReceived was called for the answer that is being read
     bool isFinished = false;
--- a/Source/Http/OpenConnection.cpp
+++ b/Source/Http/OpenConnection.cpp
@@ -35,4 +35,26 @@
         });
 }
 
+void openRelayedConnection(
+    asio::io_context& context, const RelayTarget& target, Milliseconds timeout, RelayAnswered answered)
+{
+    const auto timer = std::make_shared<Timer>(context);
+    openConnection(context, target.relay, timeout,
+        [timer, timeout, server = target.backendServer, answered = std::move(answered)](
+            const asio::error_code& error, const std::shared_ptr<HttpConnection>& connection) {
+            if (error)
+                return answered(RelayReply::Unavailable);
+            timer->expires_after(toDuration(timeout));
+            timer->async_wait([connection](const asio::error_code& cancelled) {
+                asio::error_code ignored;
+                if (!cancelled)
+                    connection->socket.close(ignored);
+            });
+            requestRelay(connection, server, [timer, answered](RelayReply reply) {
+                timer->cancel();
+                answered(reply);
+            });
+        });
+}
+
 }
--- a/Source/Http/OpenConnection.h
+++ b/Source/Http/OpenConnection.h
@@ -2,6 +2,7 @@
 
 #include "Base/NetworkAddress.h"
 #include "Http/HttpConnection.h"
+#include "Http/RelayRequest.h"
 
 #include <asio/io_context.hpp>
 #include <functional>
@@ -16,4 +17,8 @@
 void openConnection(
     asio::io_context& context, const NetworkAddress& address, Milliseconds timeout, ConnectionOpened opened);
 
+/** Finds out whether a backend server accepts connections through another instance; closes the connection again. */
+void openRelayedConnection(
+    asio::io_context& context, const RelayTarget& target, Milliseconds timeout, RelayAnswered answered);
+
 }
--- /dev/null
+++ b/Source/Http/RelayRequest.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Base/NetworkAddress.h"
+#include "Http/HttpConnection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace burlreach {
+
+/** The instance that relays a connection, and the id of the backend server that it connects to. */
+struct RelayTarget {
+    NetworkAddress relay;
+    std::string backendServer;
+};
+
+/** What an instance that was asked to relay a connection answered. */
+enum class RelayReply {
+    Connected, // bytes are forwarded to the server from now on
+    ServerRefused, // the server refused the connection
+    ServerSilent, // the server did not answer
+    Unavailable // the instance did not answer, or cannot relay to this server
+};
+
+/** Header field with the id of the backend server to which a relay is asked to connect. */
+inline constexpr std::string_view RelayServerField = "Backend-Server";
+
+using RelayAnswered = std::function<void(RelayReply reply)>;
+
+/**
+ * Asks for a relay with an HTTP CONNECT request on a new connection to another instance. Once it has answered
+ * Connected, the connection leads to the backend server. Closing the connection abandons the request.
+ */
+void requestRelay(
+    const std::shared_ptr<HttpConnection>& connection, std::string_view backendServer, RelayAnswered answered);
+
+}
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -27,6 +27,7 @@
     "backend_servers_limited",
     "backend_servers_refused",
     "answer_broken",
+    "no_path",
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::Count)> RetryNames{
@@ -99,6 +100,10 @@
     "last_choices_slow",
     "last_choices_no_recent_report",
     "last_choices_behind_others",
+    "paths_lost",
+    "attempts_relayed",
+    "relays_opened",
+    "relays_refused",
 };
 
 static_assert(!RefusalNames.back().empty() && !RetryNames.back().empty() && !HoldNames.back().empty()
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -27,6 +27,7 @@
     BackendServersLimited, // all have rate limits, and no permit is available within the time that the request may wait
     BackendServersRefused, // the backend servers that were tried did not run it
     AnswerBroken, // the connection closed before the answer was complete, or the answer is invalid
+    NoPath, // no backend server of the service can be reached, directly or through another instance
     Count
 };
 
@@ -101,6 +102,10 @@
     LastChoicesSlow,
     LastChoicesNoRecentReport,
     LastChoicesBehindOthers,
+    PathsLost, // backend servers that other instances reach and this one does not
+    AttemptsRelayed, // attempts sent through another instance
+    RelaysOpened, // connections relayed for other instances
+    RelaysRefused, // relays that other instances asked for and this one could not give
     Count
 };
 
--- a/Source/Metrics/TrafficMetrics.h
+++ b/Source/Metrics/TrafficMetrics.h
@@ -20,6 +20,7 @@
 
     std::atomic<std::uint64_t> openRequests{ 0 };
     std::atomic<std::uint64_t> unfinishedAnswers{ 0 }; // counted during a planned stop only
+    std::atomic<std::uint64_t> openRelays{ 0 }; // connections relayed for other instances
     std::atomic<std::uint64_t> openSessions{ 0 };
     std::atomic<std::uint64_t> sessionsRefused{ 0 };
     std::atomic<std::uint64_t> peerBytesSent{ 0 };
--- a/Source/Node/Actions.h
+++ b/Source/Node/Actions.h
@@ -7,12 +7,14 @@
 #include "Metrics/Reasons.h"
 #include "Node/ChangeSource.h"
 #include "Node/DecisionRecord.h"
+#include "Reachability/RelayNumber.h"
 #include "Routing/AttemptResult.h"
 #include "Store/StoreCall.h"
 #include "Store/StoreItem.h"
 #include "operators.pb.h"
 #include "peers.pb.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +38,7 @@
     bool mayRepeat = false; // the request may run more than once
     bool withholdsKey = false; // the caller's key and claimed customer name are withheld from the server
     std::string customer; // name forwarded to the server; empty: the request belongs to no customer
+    std::optional<NetworkAddress> relay; // the instance through which to connect; empty: directly
 };
 
 /** Cancel an attempt and notify the backend server; AttemptEnded is not expected. */
@@ -61,6 +64,7 @@
 /** Probe a backend server and report the result with ProbeEnded. */
 struct SendProbe {
     Probe probe;
+    std::optional<NetworkAddress> relay; // the instance through which to connect; empty: directly
 };
 
 /**
@@ -80,6 +84,15 @@
 struct CheckServer {
     std::string backendServer;
     NetworkAddress address;
+    std::optional<NetworkAddress> relay; // the instance through which to connect; empty: directly
+    bool isForPath = false; // the check is about the network path, not about the server's process
+};
+
+/** Answer another instance that asked to relay a connection to a backend server. */
+struct AnswerRelay {
+    RelayNumber relay = 0;
+    std::optional<NetworkAddress> address; // of the server; empty: this instance cannot relay to it
+    std::string backendServer;
 };
 
 /** Apply new limits on what callers may send. */
@@ -121,7 +134,8 @@
 };
 
 using Action = std::variant<SendAttempt, CancelAttempt, ForwardAnswer, RefuseRequest, SendProbe, StopSendingTo,
-    CheckServer, SetCallerLimits, SendToPeer, CallStore, TranslateItem, AnswerChange, AnswerInForce, DecisionRecord>;
+    CheckServer, AnswerRelay, SetCallerLimits, SendToPeer, CallStore, TranslateItem, AnswerChange, AnswerInForce,
+    DecisionRecord>;
 using Actions = std::vector<Action>;
 
 }
--- a/Source/Node/Events.cpp
+++ b/Source/Node/Events.cpp
@@ -44,6 +44,11 @@
     return "server_checked";
 }
 
+std::string_view nameOf(const RelayAsked&)
+{
+    return "relay_asked";
+}
+
 std::string_view nameOf(const PeerMessageArrived& event)
 {
     switch (event.message.body_case()) {
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -7,6 +7,7 @@
 #include "Customers/Credential.h"
 #include "Measurement/ProbeManager.h"
 #include "Metrics/Reasons.h"
+#include "Reachability/RelayNumber.h"
 #include "Routing/AttemptResult.h"
 #include "Routing/ConnectOutcome.h"
 #include "Routing/ServerNotice.h"
@@ -83,6 +84,14 @@
 struct ServerChecked {
     std::string backendServer;
     ConnectOutcome result = ConnectOutcome::NoAnswer;
+    std::optional<NetworkAddress> relay; // the instance through which the connection was opened
+    bool isForPath = false; // as in CheckServer
+};
+
+/** Another instance asked this one to relay a connection to a backend server; answered with AnswerRelay. */
+struct RelayAsked {
+    RelayNumber relay = 0;
+    std::string backendServer;
 };
 
 /** A message of another instance arrived. */
@@ -128,7 +137,7 @@
 struct ControlTimer { };
 
 using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, ServerNoticed, UnreadFieldSeen,
-    ProbeEnded, ServerChecked, PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked,
+    ProbeEnded, ServerChecked, RelayAsked, PeerMessageArrived, StoreAnswered, ItemTranslated, SeedsChanged, ChangeAsked,
     InForceAsked, StopAsked, RequestTimer, ControlTimer>;
 
 /** The event's name in log lines; for a peer's message, the kind of its body. */
--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t ContactsPerUpdate = 2;
 constexpr std::uint64_t UpdatesPerContactList = 4;
 constexpr std::size_t ContactsPerSearch = 3;
+constexpr std::size_t RelaysPerUpdate = 4;
 
 constexpr unsigned MaxSearchDoublings = 3;
 /** Maximum random extension of a pause between searches, as a fraction of the pause. */
@@ -71,6 +72,14 @@
     this->nextSeeds = LongAgo;
 }
 
+bool GossipExchange::setLostPaths(bool hasLostPaths)
+{
+    if (this->options.self.has_lost_paths() == hasLostPaths)
+        return false;
+    this->options.self.set_has_lost_paths(hasLostPaths);
+    return true;
+}
+
 void GossipExchange::send(const NetworkAddress& address, peers::PeerMessage message, Actions& actions) const
 {
     actions.emplace_back(makeSendToPeer(address, this->options.self.incarnation(), std::move(message)));
@@ -361,9 +370,23 @@
         const std::size_t index = this->dependencies.random->below(this->members.size());
         *news->add_contacts() = this->members.members()[index].member;
     }
+    this->addRelays(*news);
     return message;
 }
 
+void GossipExchange::addRelays(peers::News& news) const
+{
+    std::vector<const peers::Member*> relays;
+    for (const KnownMember& known : this->members.members()) {
+        if (!known.member.has_lost_paths())
+            relays.push_back(&known.member);
+    }
+    if (relays.size() == this->members.size() && !this->options.self.has_lost_paths())
+        return;
+    for (std::size_t count = 0; count < std::min(RelaysPerUpdate, relays.size()); ++count)
+        *news.add_relays() = *relays[this->dependencies.random->below(relays.size())];
+}
+
 void GossipExchange::broadcastUpdate(Milliseconds now, Actions& actions)
 {
     this->members.tick(now);
--- a/Source/Node/GossipExchange.h
+++ b/Source/Node/GossipExchange.h
@@ -89,6 +89,8 @@
     void notifyOthers(Milliseconds now, Actions& actions);
     /** Sends a hello, with what was learned here, to the instances that watch the store. */
     void notifyWatchers(Milliseconds now, Actions& actions) { this->sendHellos(now, actions); }
+    /** Sets what other instances are told about this one's paths to backend servers; true when that changed. */
+    bool setLostPaths(bool hasLostPaths);
     void setSeeds(std::vector<NetworkAddress> seeds);
     void tick(Milliseconds now, Actions& actions);
     Milliseconds nextDue() const;
@@ -162,6 +164,8 @@
     void sendViewToNewInstances(Milliseconds now, Actions& actions);
     Milliseconds nextSearchDelay();
     peers::PeerMessage makeHello(Milliseconds now) const;
+    /** Names some instances without lost paths, if any instance has lost some. */
+    void addRelays(peers::News& news) const;
     peers::PeerMessage makeUpdate(StoreRevision since, Milliseconds now);
     void sendHellos(Milliseconds now, Actions& actions);
     void sendHellosToSeeds(Milliseconds now, Actions& actions);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -64,6 +64,9 @@
               .gossip = &this->gossip,
               .random = &this->random,
               .counters = &this->decisionCounters })
+    , paths({ .seed = givenOptions.seed,
+                .relays = { .instance = givenOptions.name, .dataCentre = givenOptions.dataCentre } },
+          { .services = &this->services, .counters = &this->decisionCounters })
     , probes({ .fleetPerSecond = givenOptions.probesPerSecond, .dataCentre = givenOptions.dataCentre }, this->random)
     , flow(flowOf(givenOptions),
           { .services = &this->services,
@@ -74,7 +77,8 @@
               .crashes = &this->crashes,
               .quotas = &this->quotas,
               .rollouts = &this->rollouts,
-              .limits = &this->limits })
+              .limits = &this->limits,
+              .paths = &this->paths })
     , changes(
           { .instanceName = givenOptions.name, .key = givenOptions.changeKey }, *this, this->storeCalls, this->random)
 {
@@ -85,6 +89,7 @@
     std::visit([&](const auto& item) { this->dispatch(item, now, actions); }, event);
     this->shareLeavingSigns(now, actions);
     this->shareLimits(now, actions);
+    this->applyPathChanges(now, actions);
     this->shareCrashes(now, actions);
     if (now >= this->rollouts.nextReportAt()) {
         this->rollouts.reportSent();
@@ -161,7 +166,22 @@
 
 void Node::dispatch(const ServerChecked& event, Milliseconds now, Actions& actions)
 {
-    this->crashes.handleServerCheck(event, now, actions);
+    this->paths.checkEnded(event, now, actions);
+}
+
+void Node::dispatch(const RelayAsked& event, Milliseconds, Actions& actions)
+{
+    this->paths.relayAsked(event, this->stopping, actions);
+}
+
+void Node::applyPathChanges(Milliseconds now, Actions& actions)
+{
+    for (const ServerChecked& finding : this->paths.takeFindings())
+        this->crashes.handleServerCheck(finding, now, actions);
+    for (const std::string& server : this->paths.applyChanges(actions))
+        this->flow.pathLost(server, now);
+    if (this->gossip.setLostPaths(this->paths.isImpaired()))
+        this->gossip.notifyOthers(now, actions);
 }
 
 void Node::shareLeavingSigns(Milliseconds now, Actions& actions)
@@ -202,6 +222,7 @@
         this->quotas.receive(event.message, now, actions);
         return this->flow.creditDecided(now, actions);
     }
+    this->paths.receive(event.message, now);
     this->gossip.receive(event.message, now, actions);
     this->callStore(now, actions);
 }
@@ -270,6 +291,7 @@
 {
     this->gossip.tick(now, actions);
     this->crashes.tick(now);
+    this->paths.tick(now, actions);
     for (const BackendServerChange& change : this->services.removeExpiredLapses(now))
         actions.emplace_back(this->handleBackendServerChange(change, now, actions).with("heard_from", "nobody"));
     const std::size_t members = this->gossip.instances(now);
@@ -350,7 +372,7 @@
 {
     Milliseconds due = std::min({ this->gossip.nextDue(), this->changes.nextDue(), this->services.nextLapseExpiry(),
         this->crashes.nextDue(), this->crashRecorder.nextDue(), this->quotas.nextControlDue(), this->rollouts.nextDue(),
-        this->limits.nextReportAt() });
+        this->limits.nextReportAt(), this->paths.nextDue() });
     if (this->store.isWatching() || !this->store.view().revision())
         due = std::min(due, this->store.nextAt());
     return due;
@@ -464,6 +486,7 @@
         || change.kind == BackendServerChange::Kind::Unusable || change.kind == BackendServerChange::Kind::Restarted;
     if (isOver) {
         this->probes.forget(change.record.id);
+        this->paths.forget(change.record.id);
         this->crashes.handleServerReplaced(change.record.id, now, actions);
     }
     if (isOver || change.kind == BackendServerChange::Kind::Draining)
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -12,6 +12,7 @@
 #include "Node/GossipExchange.h"
 #include "Node/LeavingSigns.h"
 #include "Node/LoadView.h"
+#include "Node/PathManager.h"
 #include "Node/PolicyFactory.h"
 #include "Node/QuotaManager.h"
 #include "Node/RequestFlow.h"
@@ -47,6 +48,7 @@
         /** Processor time available to this instance, in percent of one processor; 0: unknown. */
         std::uint32_t capacity = 0;
         NetworkAddress peersAddress;
+        NetworkAddress relayAddress; // accepts connections to relay; same host as peersAddress; port 0: none
         std::uint64_t incarnation = 0; // increases with each start of the instance of this name
         std::uint64_t seed = 0;
         std::vector<NetworkAddress> seeds; // instances to contact at start, to join the fleet
@@ -112,6 +114,7 @@
     void dispatch(const UnreadFieldSeen& event, Milliseconds now, Actions& actions);
     void dispatch(const ProbeEnded& event, Milliseconds now, Actions& actions);
     void dispatch(const ServerChecked& event, Milliseconds now, Actions& actions);
+    void dispatch(const RelayAsked& event, Milliseconds now, Actions& actions);
     void dispatch(const PeerMessageArrived& event, Milliseconds now, Actions& actions);
     void dispatch(const StoreAnswered& event, Milliseconds now, Actions& actions);
     void dispatch(const ItemTranslated& event, Milliseconds now, Actions& actions);
@@ -144,6 +147,8 @@
     void shareLeavingSigns(Milliseconds now, Actions& actions);
     /** Sends limits named by servers to other instances, and continues requests that waited for permits. */
     void shareLimits(Milliseconds now, Actions& actions);
+    /** Applies lost and restored paths to servers and requests, and tells other instances whether any path is lost. */
+    void applyPathChanges(Milliseconds now, Actions& actions);
 
     Options options;
     bool stopping = false;
@@ -163,6 +168,7 @@
     QuotaManager quotas;
     RolloutManager rollouts;
     ServerRateLimiter limits;
+    PathManager paths;
     FleetSize fleetSize;
     ProbeManager probes;
     RequestFlow flow;
--- a/Source/Node/NodeComponentOptions.cpp
+++ b/Source/Node/NodeComponentOptions.cpp
@@ -46,6 +46,7 @@
     member.set_port(options.peersAddress.port);
     member.set_data_centre(options.dataCentre);
     member.set_capacity(options.capacity);
+    member.set_relay_port(options.relayAddress.port);
     return member;
 }
 
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -10,12 +10,23 @@
 
 namespace burlreach {
 
+namespace {
+
+/** A request without an answer for this many times its usual duration may have no path to the server. */
+constexpr double SilenceFactor = 2;
+constexpr Milliseconds MinSilence{ 300 };
+
+}
+
 RequestFlow::RequestFlow(Options givenOptions, Dependencies givenParts)
     : options(std::move(givenOptions))
     , dependencies(givenParts)
     , chooser(
           { .dataCentre = this->options.dataCentre, .probes = this->options.probes, .search = this->options.search },
-          { .probes = givenParts.probes, .random = givenParts.random, .counters = givenParts.counters })
+          { .probes = givenParts.probes,
+              .random = givenParts.random,
+              .counters = givenParts.counters,
+              .paths = givenParts.paths })
     , hedges(this->options.hedging,
           { .chooser = &this->chooser, .crashes = givenParts.crashes, .counters = givenParts.counters })
     , refuser({ .services = givenParts.services,
@@ -72,6 +83,8 @@
         return RefusalReason::CrashesBackendServers;
     if (!this->dependencies.quotas->ensureCredit(request, now))
         return RefusalReason::QuotaUnconfirmed;
+    if (this->dependencies.paths->isUnreachable(*request.service))
+        return RefusalReason::NoPath;
     return std::nullopt;
 }
 
@@ -234,6 +247,8 @@
     this->dependencies.crashes->sent(request, now);
     request.phase = RequestPhase::Sending;
     this->hedges.attemptSent(request, now);
+    request.silentAt = now + std::max(MinSilence, request.service->expectedTime(*request.route) * SilenceFactor);
+    const std::optional<NetworkAddress> relay = this->dependencies.paths->relayFor(*server, now);
     actions.emplace_back(recordOfSent(request, *server,
         { .version = this->dependencies.services->version(), .confirmedAt = this->dependencies.store->confirmedAt() },
         now));
@@ -250,13 +265,16 @@
         .timeLeft = request.deadline - now,
         .mayRepeat = request.route->repeat == Repeat::MayRepeat,
         .withholdsKey = request.identity.withholdsKey,
-        .customer = request.identity.customer });
+        .customer = request.identity.customer,
+        .relay = relay });
     request.tried.push_back(server);
     request.flights.push_back({ .attempt = attempt,
         .server = std::move(server),
         .sentAt = now,
         .isUnhindered = isUnhindered,
-        .hadRoom = hadRoom });
+        .hadRoom = hadRoom,
+        .relay = relay });
+    this->dependencies.paths->attemptSent(request.flights.back());
 }
 
 std::shared_ptr<BackendServerState> RequestFlow::attemptEnded(
@@ -286,8 +304,13 @@
     RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions) const
 {
     BackendServerState& server = *flight.server;
-    this->dependencies.rollouts->answered(request, flight, end, now);
-    request.service->pool.learn(server.ended(flight.attempt, end, request.service->expectedTime(*request.route), now));
+    const bool isPathFailure = this->dependencies.paths->isPathFailure(flight, end);
+    const AttemptEnd asCancelled{ .result = AttemptResult::Cancelled };
+    const AttemptEnd& ofServer = isPathFailure ? asCancelled : end;
+    this->dependencies.paths->attemptEnded(flight, end, now, actions);
+    this->dependencies.rollouts->answered(request, flight, ofServer, now);
+    request.service->pool.learn(
+        server.ended(flight.attempt, ofServer, request.service->expectedTime(*request.route), now));
     if (isProvedNotRun(end.result)) {
         --request.history.mayHaveRun;
         ++request.history.provedNotRun;
@@ -302,7 +325,7 @@
     if (end.result == AttemptResult::Broken)
         this->dependencies.crashes->connectionBroke(request, server, now, actions);
     actions.emplace_back(recordOfFailed(request, flight, end, now));
-    if (!request.service->pool.checkOutlier(server, now))
+    if (isPathFailure || !request.service->pool.checkOutlier(server, now))
         return;
     this->dependencies.counters->add(DecisionCount::Ejections);
     actions.emplace_back(knowledgeRecord("backend_server_ejected", server.id())
@@ -391,6 +414,7 @@
     const AttemptEnd cancelled{ .result = AttemptResult::Cancelled };
     for (const Flight& flight : request.flights) {
         flight.server->ended(flight.attempt, cancelled, {}, now);
+        this->dependencies.paths->attemptEnded(flight, cancelled, now, actions);
         actions.emplace_back(CancelAttempt{ .request = request.number, .attempt = flight.attempt });
     }
     if (request.service && request.phase == RequestPhase::Waiting)
@@ -447,13 +471,32 @@
         return this->refuse(request, refusalAfterWaiting(request), now, actions);
     case RequestPhase::Sending:
         if (isLate)
-            this->timedOut(request, now, actions);
-        else
+            return this->timedOut(request, now, actions);
+        if (now >= request.silentAt)
+            this->checkSilentPaths(request, now, actions);
+        if (now >= request.hedgeAt)
             this->hedge(request, now, actions);
         return;
     }
 }
 
+void RequestFlow::checkSilentPaths(RequestState& request, Milliseconds now, Actions& actions) const
+{
+    request.silentAt = Never;
+    for (const Flight& flight : request.flights)
+        this->dependencies.paths->attemptSilent(flight, now, actions);
+}
+
+void RequestFlow::pathLost(const std::string& backendServer, Milliseconds now)
+{
+    for (auto& [number, request] : this->requests) {
+        const bool isWaiting = std::any_of(request.flights.begin(), request.flights.end(),
+            [&](const Flight& flight) { return !flight.relay && flight.server->id() == backendServer; });
+        if (isWaiting && mayHedge(*request.route, request.history))
+            request.hedgeAt = now;
+    }
+}
+
 void RequestFlow::capacityChanged(Milliseconds now, Actions& actions)
 {
     for (const auto& service : this->dependencies.services->all())
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -7,6 +7,7 @@
 #include "Node/CrashingRequestDetector.h"
 #include "Node/Events.h"
 #include "Node/HedgePlanner.h"
+#include "Node/PathManager.h"
 #include "Node/QuotaManager.h"
 #include "Node/RequestRefuser.h"
 #include "Node/RequestState.h"
@@ -59,6 +60,7 @@
         QuotaManager* quotas = nullptr;
         RolloutManager* rollouts = nullptr;
         ServerRateLimiter* limits = nullptr;
+        PathManager* paths = nullptr;
     };
 
     RequestFlow(Options options, Dependencies parts);
@@ -71,6 +73,8 @@
     void loadReportArrived(const BackendServerState& server, Milliseconds now, Actions& actions);
     /** Continues requests whose quota credit has been granted or refused. */
     void creditDecided(Milliseconds now, Actions& actions);
+    /** The path to this server is lost: requests that may be repeated need not wait for its answer any longer. */
+    void pathLost(const std::string& backendServer, Milliseconds now);
     /** Backend servers were added or have free capacity again: sends what is queued. */
     void capacityChanged(Milliseconds now, Actions& actions);
     void tick(Milliseconds now, Actions& actions);
@@ -100,6 +104,7 @@
     void retryOrFinish(RequestState& request, const AttemptEnded& event, Milliseconds now, Actions& actions);
     bool tryRetry(RequestState& request, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void hedge(RequestState& request, Milliseconds now, Actions& actions);
+    void checkSilentPaths(RequestState& request, Milliseconds now, Actions& actions) const;
     void passAnswer(
         RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions);
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -33,6 +33,7 @@
     Milliseconds sentAt;
     bool isUnhindered = false; // the server's last load report showed free slots and no slowness
     bool hadRoom = false; // to this instance's knowledge, the server had a free slot for it
+    std::optional<NetworkAddress> relay; // the instance through which it was sent; empty: directly
 };
 
 /** A request from its arrival to its final answer. */
@@ -51,6 +52,7 @@
     Milliseconds deadline; // for the final answer
     Milliseconds waitUntil; // refused if not sent by then
     Milliseconds hedgeAt = Never;
+    Milliseconds silentAt = Never; // when the path of an attempt without an answer is checked
     AttemptHistory history;
     unsigned attempts = 0;
     bool hedged = false;
@@ -78,7 +80,7 @@
         case RequestPhase::Sending:
             break;
         }
-        return std::min(this->hedgeAt, this->deadline);
+        return std::min({ this->hedgeAt, this->silentAt, this->deadline });
     }
 };
 
--- a/Source/Node/ServerChooser.cpp
+++ b/Source/Node/ServerChooser.cpp
@@ -74,8 +74,11 @@
     const ServiceState& service = *request.service;
     const bool isAsking = this->search.startRound(
         request.search, service.description, service.pool, this->contextOf(request, now), probes);
-    for (Probe& probe : probes)
-        actions.emplace_back(SendProbe{ .probe = std::move(probe) });
+    for (Probe& probe : probes) {
+        const auto server = service.pool.find(probe.backendServer);
+        const auto relay = server ? this->dependencies.paths->relayFor(*server, now) : std::nullopt;
+        actions.emplace_back(SendProbe{ .probe = std::move(probe), .relay = relay });
+    }
     return isAsking;
 }
 
--- a/Source/Node/ServerChooser.h
+++ b/Source/Node/ServerChooser.h
@@ -5,6 +5,7 @@
 #include "Measurement/ServerSearch.h"
 #include "Metrics/DecisionCounters.h"
 #include "Node/Actions.h"
+#include "Node/PathManager.h"
 #include "Node/RequestState.h"
 
 #include <string>
@@ -25,6 +26,7 @@
         ProbeManager* probes = nullptr;
         Random* random = nullptr;
         DecisionCounters* counters = nullptr;
+        const PathManager* paths = nullptr;
     };
 
     ServerChooser(Options options, Dependencies parts);
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -49,6 +49,7 @@
     options.dataCentre = settings.dataCentre;
     options.capacity = static_cast<std::uint32_t>(std::lround(settings.processorShare * Percent));
     options.peersAddress = settings.peersAddress;
+    options.relayAddress = settings.relayAddress;
     options.incarnation = newIncarnation();
     options.seed = std::random_device{}();
     options.seeds = settings.seeds;
@@ -127,6 +128,11 @@
     this->post(PeerMessageArrived{ .message = std::move(message) });
 }
 
+void Instance::execute(const AnswerRelay& action)
+{
+    this->traffic.run([this, action] { this->traffic.relayServer().execute(action); });
+}
+
 void Instance::execute(const SendToPeer& action)
 {
     asio::dispatch(this->context, [this, action] { this->peerClient.send(action.address, action.message); });
@@ -229,7 +235,7 @@
         return error;
     }
     if (const auto error = this->traffic.start()) {
-        this->listenFailed("/listen/callers or /listen/readiness", this->settings.callersAddress, error);
+        this->listenFailed("/listen/callers, /listen/readiness or /listen/relay", this->settings.callersAddress, error);
         return error;
     }
     return {};
@@ -364,7 +370,7 @@
 {
     // Read before the count itself, so that the count can only be newer than its number says.
     const std::uint64_t look = this->countedLook;
-    const StopWaits::Unfinished counts{ .requests = this->metrics.openRequests,
+    const StopWaits::Unfinished counts{ .requests = this->metrics.openRequests + this->metrics.openRelays,
         .callers = this->metrics.unfinishedAnswers };
     const std::size_t unfinished = counts.requests + counts.callers;
     const Milliseconds now = this->clock.now();
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -64,6 +64,7 @@
     {
         this->traffic.run([this, action] { this->traffic.requestDesk().execute(action); });
     }
+    void execute(const AnswerRelay& action);
     void execute(const SendToPeer& action);
     void execute(const CallStore& action);
     void execute(const TranslateItem& action);
--- a/Source/Program/TrafficThread.cpp
+++ b/Source/Program/TrafficThread.cpp
@@ -27,6 +27,7 @@
 
 TrafficThread::TrafficThread(const Settings& settings, Dependencies givenParts)
     : readinessAddress(settings.readinessAddress)
+    , relayAddress(settings.relayAddress)
     , dependencies(givenParts)
     , work(asio::make_work_guard(this->context))
     , timer(this->context)
@@ -37,6 +38,7 @@
               .sink = givenParts.sink,
               .repeats = givenParts.repeats,
               .metrics = givenParts.metrics })
+    , relays(this->context, {}, { .sink = givenParts.sink, .metrics = givenParts.metrics })
     , readiness(this->context, settings.readinessPath, *givenParts.reader, *givenParts.clock)
 {
 }
@@ -54,6 +56,10 @@
         if (const auto error = this->readiness.listen(this->readinessAddress))
             return error;
     }
+    if (this->relayAddress.port) {
+        if (const auto error = this->relays.listen(this->relayAddress))
+            return error;
+    }
     this->scheduleTending();
     this->thread = std::thread([this] { this->context.run(); });
     return {};
--- a/Source/Program/TrafficThread.h
+++ b/Source/Program/TrafficThread.h
@@ -5,6 +5,7 @@
 #include "Program/ReadinessPages.h"
 #include "Settings/Settings.h"
 #include "Timers/Timer.h"
+#include "Traffic/RelayServer.h"
 #include "Traffic/RequestForwarder.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -38,6 +39,7 @@
     /** Runs the task on this thread; immediately when called from it. */
     void run(std::function<void()> task);
     RequestForwarder& requestDesk() { return this->forwarder; }
+    RelayServer& relayServer() { return this->relays; }
     ReadinessPages& readinessPages() { return this->readiness; }
     /** Posts a RequestTimer event at this time. Call it on this thread only. */
     void wakeAt(Milliseconds due);
@@ -46,12 +48,14 @@
     void scheduleTending();
 
     NetworkAddress readinessAddress;
+    NetworkAddress relayAddress;
     Dependencies dependencies;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     Timer timer;
     Timer tending;
     RequestForwarder forwarder;
+    RelayServer relays;
     ReadinessPages readiness;
     Milliseconds wakesAt = Never;
     std::thread thread;
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -228,6 +228,15 @@
     this->failures = 0;
 }
 
+void BackendServerState::forgetFailures()
+{
+    this->failures = 0;
+    this->failureEstimate = 0;
+    this->slownessEstimate = 1;
+    this->ejectionCount = 0;
+    this->ejectedUntil = LongAgo;
+}
+
 Milliseconds BackendServerState::oldestAge(Milliseconds now) const
 {
     Milliseconds oldest;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -56,6 +56,8 @@
     /** Another backend server now has the address: this life is over. */
     void markReplaced() { this->replaced = true; }
     void eject(Milliseconds until);
+    /** Drops recorded failures and an ejection that followed from them, because the server did not cause them. */
+    void forgetFailures();
 
     const BackendServerRecord& record() const { return this->description; }
     const std::string& id() const { return this->description.id; }
--- a/Source/Routing/ConnectOutcome.cpp
+++ b/Source/Routing/ConnectOutcome.cpp
@@ -13,6 +13,8 @@
         return "refused";
     case ConnectOutcome::NoAnswer:
         return "no_answer";
+    case ConnectOutcome::RelayUnavailable:
+        return "relay_unavailable";
     case ConnectOutcome::Abandoned:
         break;
     }
--- a/Source/Routing/ConnectOutcome.h
+++ b/Source/Routing/ConnectOutcome.h
@@ -10,6 +10,7 @@
     Connected, // a new connection was established
     Refused, // nothing accepts connections at the address, or something on the path rejects them
     NoAnswer, // the backend server or the network may be down
+    RelayUnavailable, // the instance asked to relay could not be reached, or cannot reach the server itself
     Abandoned // this instance gave up or could not open a connection; nothing is known about the server
 };
 
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -31,6 +31,7 @@
     NetworkAddress callersAddress;
     NetworkAddress operatorsAddress;
     NetworkAddress peersAddress;
+    NetworkAddress relayAddress; // port 0: this instance relays no connections for others
     NetworkAddress readinessAddress; // port 0: readiness is served at the operators' address only
     std::string readinessPath = "/ready";
 
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -40,6 +40,7 @@
     section.requiredAddress("callers", settings.callersAddress);
     section.requiredAddress("operators", settings.operatorsAddress);
     section.requiredAddress("peers", settings.peersAddress);
+    section.optionalAddress("relay", settings.relayAddress);
     section.optionalAddress("readiness", settings.readinessAddress);
     section.optionalText("readinessPath", settings.readinessPath);
     section.finish();
@@ -109,6 +110,9 @@
     if (settings.callersAddress == settings.operatorsAddress || settings.callersAddress == settings.peersAddress
         || settings.operatorsAddress == settings.peersAddress)
         findings.add("/listen", "uses one address twice; give callers, operators and peers different addresses");
+    if (settings.relayAddress.port && settings.relayAddress.host != settings.peersAddress.host)
+        findings.add("/listen/relay",
+            "has another host than /listen/peers, from which other instances take it; use the same host");
 }
 
 }
--- /dev/null
+++ b/Source/Traffic/RelayServer.cpp
@@ -0,0 +1,111 @@
+#include "Traffic/RelayServer.h"
+
+#include "Http/OpenConnection.h"
+#include "Traffic/ConnectError.h"
+
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+namespace burlreach {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned statusOf(http::status status)
+{
+    return static_cast<unsigned>(status);
+}
+
+}
+
+RelayServer::RelayServer(asio::io_context& givenContext, Options givenOptions, Dependencies givenParts)
+    : context(&givenContext)
+    , options(givenOptions)
+    , dependencies(givenParts)
+    , acceptor(givenContext)
+{
+}
+
+std::error_code RelayServer::listen(const NetworkAddress& address)
+{
+    asio::error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+    if (!error)
+        this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (!error)
+        this->accept();
+    return error;
+}
+
+void RelayServer::accept()
+{
+    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (!error)
+            this->accepted(std::move(socket));
+        if (this->acceptor.is_open())
+            this->accept();
+    });
+}
+
+void RelayServer::accepted(asio::ip::tcp::socket socket)
+{
+    const RelayNumber number = ++this->lastNumber;
+    const auto session = std::make_shared<RelaySession>(
+        number, std::move(socket),
+        [this](RelayNumber asking, std::string backendServer) {
+            this->dependencies.sink->post(RelayAsked{ .relay = asking, .backendServer = std::move(backendServer) });
+        },
+        [this](RelayNumber ended) {
+            this->sessions.erase(ended);
+            this->dependencies.metrics->openRelays = this->sessions.size();
+        });
+    if (this->sessions.size() >= this->options.mostSessions)
+        return session->refuse(statusOf(http::status::service_unavailable));
+    this->sessions.emplace(number, session);
+    this->dependencies.metrics->openRelays = this->sessions.size();
+    session->start();
+}
+
+void RelayServer::execute(const AnswerRelay& action)
+{
+    const auto found = this->sessions.find(action.relay);
+    if (found == this->sessions.end())
+        return;
+    if (!action.address)
+        return found->second->refuse(statusOf(http::status::service_unavailable));
+    openConnection(*this->context, *action.address, this->options.connectTimeout,
+        [this, action](const asio::error_code& error, std::shared_ptr<HttpConnection> opened) {
+            this->connected(action, error, std::move(opened));
+        });
+}
+
+void RelayServer::connected(
+    const AnswerRelay& action, const asio::error_code& error, std::shared_ptr<HttpConnection> opened)
+{
+    const ConnectOutcome outcome = connectOutcomeOf(error);
+    if (outcome == ConnectOutcome::Refused || outcome == ConnectOutcome::NoAnswer)
+        this->dependencies.sink->post(
+            ServerChecked{ .backendServer = action.backendServer, .result = outcome, .isForPath = true });
+    const auto found = this->sessions.find(action.relay);
+    if (found == this->sessions.end())
+        return;
+    switch (outcome) {
+    case ConnectOutcome::Connected:
+        return found->second->forward(opened);
+    case ConnectOutcome::Refused:
+        return found->second->refuse(statusOf(http::status::bad_gateway));
+    case ConnectOutcome::NoAnswer:
+        return found->second->refuse(statusOf(http::status::gateway_timeout));
+    default:
+        return found->second->refuse(statusOf(http::status::service_unavailable));
+    }
+}
+
+}
--- /dev/null
+++ b/Source/Traffic/RelaySession.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Http/HttpConnection.h"
+#include "Reachability/RelayNumber.h"
+#include "Timers/Timer.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace burlreach {
+
+/**
+ * One connection that this instance relays for another one: receives the CONNECT request, answers it, and then
+ * forwards bytes in both directions until one side closes. A reset by the server is passed on as a reset, because an
+ * answer without a length is complete only after an orderly close.
+ */
+class RelaySession : public std::enable_shared_from_this<RelaySession> {
+public:
+    /** Called with the id of the backend server that the other instance wants to reach. */
+    using Asked = std::function<void(RelayNumber number, std::string backendServer)>;
+    using Ended = std::function<void(RelayNumber number)>;
+
+    RelaySession(RelayNumber number, asio::ip::tcp::socket socket, Asked asked, Ended ended);
+
+    void start();
+    /** Answers with an error status and closes. */
+    void refuse(unsigned status);
+    /** Answers that the connection to the server is established, and forwards from now on. */
+    void forward(const std::shared_ptr<HttpConnection>& toServer);
+    /** True while the other instance waits for the answer to its request. */
+    bool isOpen() const { return !this->isOver; }
+
+private:
+    static constexpr std::size_t BufferSize = 8192;
+
+    /** One direction of forwarding. */
+    struct Direction {
+        std::array<char, BufferSize> buffer{};
+    };
+
+    void readRequest();
+    void requestReceived(std::size_t size);
+    void write(unsigned status, std::function<void()> written);
+    void watchForClose();
+    void fromInstance();
+    void fromServer();
+    void restartTimer(std::chrono::milliseconds duration);
+    /** Closes both connections; with `isReset`, by resets. */
+    void end(bool isReset);
+
+    RelayNumber number;
+    asio::ip::tcp::socket instance;
+    std::shared_ptr<HttpConnection> server; // null until it is established
+    Asked asked;
+    Ended ended;
+    Timer timer;
+    Direction toServer;
+    Direction toInstance;
+    std::string input; // of the request
+    bool isOver = false;
+};
+
+}
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/RetryAfterDelay.h"
 #include "Base/ChronoDuration.h"
+#include "Traffic/ConnectError.h"
 #include "Traffic/StableFields.h"
 
 #include <algorithm>
@@ -21,22 +22,6 @@
     return problem == HttpRequestProblem::BodyTooLarge ? RefusalReason::BodyTooLarge : RefusalReason::BadRequest;
 }
 
-ConnectOutcome connectOutcomeOf(const std::error_code& error)
-{
-    if (!error)
-        return ConnectOutcome::Connected;
-    if (error == asio::error::connection_refused || error == asio::error::connection_reset)
-        return ConnectOutcome::Refused;
-    const bool isSilent = error == asio::error::timed_out || error == asio::error::host_unreachable
-        || error == asio::error::network_unreachable;
-    return isSilent ? ConnectOutcome::NoAnswer : ConnectOutcome::Abandoned;
-}
-
-ConnectOutcome connectOutcomeOf(const HttpExchangeEnd& end)
-{
-    return end.isReused ? ConnectOutcome::Reused : connectOutcomeOf(end.connectError);
-}
-
 http::status statusOf(HttpRequestProblem problem)
 {
     switch (problem) {
@@ -186,6 +171,8 @@
     Request& request = found->second;
     HttpExchange::Options exchange;
     exchange.address = action.address;
+    if (action.relay)
+        exchange.relay = RelayTarget{ .relay = *action.relay, .backendServer = action.backendServer };
     exchange.request = encode(this->makeForwardedRequest(request, action));
     exchange.isHeadRequest = request.message.method() == http::verb::head;
     exchange.connectTimeout = this->options.connectTimeout;
@@ -203,7 +190,7 @@
     started.exchange = std::make_shared<HttpExchange>(*this->context, std::move(exchange),
         [this, number, attempt](HttpExchangeEnd end) { this->attemptEnded(number, attempt, std::move(end)); });
     const Milliseconds longestIdle = action.mayRepeat ? Never : this->options.maxIdleForRunOnce;
-    auto kept = this->connections.take(action.backendServer, longestIdle);
+    auto kept = action.relay ? nullptr : this->connections.take(action.backendServer, longestIdle);
     ++(kept ? this->dependencies.metrics->connectionsReused : this->dependencies.metrics->connectionsOpened);
     started.exchange->start(std::move(kept));
 }
@@ -320,18 +307,21 @@
 
 void RequestForwarder::execute(const SendProbe& action)
 {
-    auto kept = this->connections.take(action.probe.backendServer, Never);
+    auto kept = action.relay ? nullptr : this->connections.take(action.probe.backendServer, Never);
     ++(kept ? this->dependencies.metrics->connectionsReused : this->dependencies.metrics->connectionsOpened);
-    this->startProbe(action.probe, std::move(kept));
+    this->startProbe(action, std::move(kept));
 }
 
-void RequestForwarder::startProbe(const Probe& probe, std::shared_ptr<HttpConnection> kept)
+void RequestForwarder::startProbe(const SendProbe& action, std::shared_ptr<HttpConnection> kept)
 {
+    const Probe& probe = action.probe;
     HttpRequest message(http::verb::get, probe.path, HttpVersion);
     message.set(http::field::host, probe.address.text());
     this->dependencies.dialect->writeProbe(message, probe.backendServer);
     HttpExchange::Options options;
     options.address = probe.address;
+    if (action.relay)
+        options.relay = RelayTarget{ .relay = *action.relay, .backendServer = probe.backendServer };
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
@@ -340,16 +330,17 @@
               const HttpResponse& header) { this->answerHeaderReceived(server, life, now, header); };
     const bool wasKept = kept != nullptr;
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
-        [this, probe, wasKept](HttpExchangeEnd end) { this->probeEnded(probe, wasKept, std::move(end)); });
+        [this, action, wasKept](HttpExchangeEnd end) { this->probeEnded(action, wasKept, std::move(end)); });
     exchange->start(std::move(kept));
 }
 
-void RequestForwarder::probeEnded(const Probe& probe, bool wasKept, HttpExchangeEnd end)
+void RequestForwarder::probeEnded(const SendProbe& action, bool wasKept, HttpExchangeEnd end)
 {
+    const Probe& probe = action.probe;
     const bool wasClosed = end.result == HttpExchangeResult::Broken || end.result == HttpExchangeResult::NotSent;
     // The server may have closed the idle connection just before the probe was sent; try a new connection.
     if (wasKept && wasClosed)
-        return this->startProbe(probe, nullptr);
+        return this->startProbe(action, nullptr);
     ProbeEnd ended;
     if (end.response)
         ended = this->dependencies.dialect->readProbe(*end.response, probe.backendServer);
@@ -359,12 +350,26 @@
 
 void RequestForwarder::execute(const CheckServer& action)
 {
+    if (action.relay)
+        return this->checkThroughRelay(action);
     openConnection(*this->context, action.address, this->options.connectTimeout,
-        [this, server = action.backendServer](const asio::error_code& error, std::shared_ptr<HttpConnection> opened) {
+        [this, action](const asio::error_code& error, std::shared_ptr<HttpConnection> opened) {
             if (opened)
-                this->connections.add(server, std::move(opened));
-            this->dependencies.sink->post(
-                ServerChecked{ .backendServer = server, .result = connectOutcomeOf(error) });
+                this->connections.add(action.backendServer, std::move(opened));
+            this->dependencies.sink->post(ServerChecked{ .backendServer = action.backendServer,
+                .result = connectOutcomeOf(error),
+                .isForPath = action.isForPath });
+        });
+}
+
+void RequestForwarder::checkThroughRelay(const CheckServer& action)
+{
+    openRelayedConnection(*this->context, { .relay = *action.relay, .backendServer = action.backendServer },
+        HttpExchange::Options{}.relayTimeout, [this, action](RelayReply reply) {
+            this->dependencies.sink->post(ServerChecked{ .backendServer = action.backendServer,
+                .result = connectOutcomeOf(reply),
+                .relay = action.relay,
+                .isForPath = action.isForPath });
         });
 }
 
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -110,8 +110,9 @@
     HttpRequest makeForwardedRequest(const Request& request, const SendAttempt& action) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
     AttemptEnd attemptEndOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
-    void probeEnded(const Probe& probe, bool wasKept, HttpExchangeEnd end);
-    void startProbe(const Probe& probe, std::shared_ptr<HttpConnection> kept);
+    void probeEnded(const SendProbe& action, bool wasKept, HttpExchangeEnd end);
+    void startProbe(const SendProbe& action, std::shared_ptr<HttpConnection> kept);
+    void checkThroughRelay(const CheckServer& action);
     void returnConnection(const std::string& backendServer, HttpExchangeEnd& end);
     void sendAnswer(RequestNumber number, HttpResponse response);
     void removeFromSession(std::uint64_t session, RequestNumber number);
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint16_t PeersPort = 7000;
+constexpr std::uint16_t RelayPort = 7001;
 constexpr std::uint16_t FirstServerPort = 10000;
 constexpr std::uint32_t ServerPorts = 50000;
 constexpr const char* DataCentres[] = { "dc-1", "dc-2", "dc-3" };
@@ -145,6 +146,7 @@
     node.name = this->nameOf(instance);
     node.dataCentre = DataCentres[instance % std::size(DataCentres)];
     node.peersAddress = this->addressOf(instance);
+    node.relayAddress = { .host = node.peersAddress.host, .port = RelayPort };
     node.incarnation = ++place.life;
     node.seed = this->options.seed * 1000 + instance * 10 + place.life;
     for (std::size_t seed = 0; seed < std::min(this->options.seedInstances, this->nodes.size()); ++seed)
@@ -382,43 +384,103 @@
         this->callerEnded(caller);
 }
 
+void VirtualFleet::connect(std::size_t instance, const std::string& serverId, const NetworkAddress& address,
+    const std::optional<NetworkAddress>& relay, const Connected& done)
+{
+    const VirtualBackendServer* server = this->serverAt(address);
+    if (!relay) {
+        const ConnectOutcome outcome = this->connectOutcome(instance, server);
+        return this->time.after(this->connectTime(outcome), [done, outcome, instance] { done(outcome, instance); });
+    }
+    const auto found = this->byAddress.find(NetworkAddress{ .host = relay->host, .port = PeersPort }.text());
+    const std::size_t other = found->second;
+    const bool isCut = this->nodes[instance].isCut || this->nodes[other].isCut
+        || this->nodes[instance].side != this->nodes[other].side;
+    if (isCut || !this->isAlive(other) || this->nodes[other].isFrozen) {
+        return this->time.after(
+            this->options.connectTimeout, [done, instance] { done(ConnectOutcome::RelayUnavailable, instance); });
+    }
+    const RelayNumber number = ++this->lastRelay;
+    this->relays[number] = [this, other, serverId, done](const AnswerRelay& answer) {
+        const auto reply = [this, other, done](ConnectOutcome outcome) {
+            this->time.after(this->options.toPeer, [done, outcome, other] { done(outcome, other); });
+        };
+        if (!answer.address)
+            return reply(ConnectOutcome::RelayUnavailable);
+        const std::uint64_t life = this->nodes[other].life;
+        this->connect(other, serverId, *answer.address, std::nullopt,
+            [this, other, life, serverId, reply](ConnectOutcome outcome, std::size_t) {
+                if (outcome != ConnectOutcome::Connected)
+                    this->deliver(
+                        other, life, ServerChecked{ .backendServer = serverId, .result = outcome, .isForPath = true });
+                reply(outcome);
+            });
+    };
+    this->time.after(this->options.toPeer, [this, other, life = this->nodes[other].life, number, serverId] {
+        this->deliver(other, life, RelayAsked{ .relay = number, .backendServer = serverId });
+    });
+}
+
+void VirtualFleet::execute(std::size_t, const AnswerRelay& action)
+{
+    const auto found = this->relays.find(action.relay);
+    const auto answered = std::move(found->second);
+    this->relays.erase(found);
+    answered(action);
+}
+
 void VirtualFleet::execute(std::size_t instance, const SendAttempt& action)
 {
     const std::uint64_t life = this->nodes[instance].life;
     const VirtualCaller& caller = this->callerList.at(action.request);
     const std::string requestId = caller.requestId;
     VirtualBackendServer* server = this->serverAt(action.address);
-    const ConnectOutcome connect = this->connectOutcome(instance, server);
+    const bool isListening = server && server->fault() != ServerFault::Dead && server->fault() != ServerFault::Dark;
     this->sent.push_back({ .instance = instance,
         .life = life,
         .requestId = requestId,
         .customer = action.customer,
         .backendServer = action.backendServer,
         .at = this->time.now(),
-        .isListening = connect == ConnectOutcome::Connected,
+        .isListening = isListening,
         .crashesServers = caller.crashesServers });
     const Milliseconds sentAt = this->time.now();
-    if (connect != ConnectOutcome::Connected) {
-        return this->time.after(this->connectTime(connect), [this, instance, life, action, sentAt, connect] {
-            const AttemptEnd end{ .result = AttemptResult::NotSent, .connect = connect };
+    // Without a relay the connection takes no time of its own: most requests use a kept one.
+    const ConnectOutcome direct = this->connectOutcome(instance, server);
+    if (!action.relay && direct == ConnectOutcome::Connected)
+        return this->sendOn({ .from = instance, .via = instance, .life = life, .sentAt = sentAt }, action);
+    this->connect(instance, action.backendServer, action.address, action.relay,
+        [this, instance, life, action, sentAt](ConnectOutcome outcome, std::size_t via) {
+            if (outcome == ConnectOutcome::Connected)
+                return this->sendOn({ .from = instance, .via = via, .life = life, .sentAt = sentAt }, action);
+            const AttemptEnd end{ .result = AttemptResult::NotSent, .connect = outcome };
             this->attemptEnded(instance, life, action, sentAt, { .end = end, .requestId = {} });
         });
-    }
+}
+
+void VirtualFleet::sendOn(const OpenAttempt& open, const SendAttempt& action)
+{
+    if (this->cancelled.contains(attemptAt(open.from, action.attempt)))
+        return;
+    const auto found = this->callerList.find(action.request);
+    VirtualBackendServer* server = this->serverAt(action.address);
     // A full server id contains service and address; the fakes know only the name in it.
     const bool isMeant = action.backendServer.find("/" + server->id() + "@") != std::string::npos;
     const std::string expected = isMeant ? server->id() : action.backendServer;
-    const VirtualBackendServer::Arrival arrival{ .requestId = requestId,
+    const VirtualBackendServer::Arrival arrival{ .requestId = found->second.requestId,
         .expectedServer = expected,
-        .attempt = attemptAt(instance, action.attempt),
-        .crashesServers = caller.crashesServers };
-    this->time.after(this->options.toServer, [this, server, arrival, instance, life, action, sentAt] {
-        server->receive(arrival, [this, server, instance, life, action, sentAt](const ServerWord& word) {
-            this->time.after(this->options.toServer, [this, server, instance, life, action, sentAt, word] {
-                const ServerCut cut = this->cutBetween(instance, server);
+        .attempt = attemptAt(open.from, action.attempt),
+        .crashesServers = found->second.crashesServers };
+    const Milliseconds oneWay
+        = this->options.toServer + (open.via == open.from ? Milliseconds{} : this->options.toPeer);
+    this->time.after(oneWay, [this, server, arrival, open, action, oneWay] {
+        server->receive(arrival, [this, server, open, action, oneWay](const ServerWord& word) {
+            this->time.after(oneWay, [this, server, open, action, word] {
+                const ServerCut cut = this->cutBetween(open.via, server);
                 if (cut == ServerCut::Silent || cut == ServerCut::OneWay)
                     return;
                 const ServerWord reset{ .end = { .result = AttemptResult::Broken }, .requestId = {} };
-                this->attemptEnded(instance, life, action, sentAt, cut == ServerCut::Reset ? reset : word);
+                this->attemptEnded(open.from, open.life, action, open.sentAt, cut == ServerCut::Reset ? reset : word);
             });
         });
     });
@@ -446,6 +508,7 @@
 
 void VirtualFleet::execute(std::size_t instance, const CancelAttempt& action)
 {
+    this->cancelled.insert(attemptAt(instance, action.attempt));
     for (const auto& [id, server] : this->servers) {
         this->time.after(this->options.toServer,
             [&each = *server, number = attemptAt(instance, action.attempt)] { each.cancel(number); });
@@ -474,8 +537,21 @@
     const std::uint64_t life = this->nodes[instance].life;
     this->probeList.push_back(
         { .instance = instance, .life = life, .backendServer = action.probe.backendServer, .at = this->time.now() });
+    if (!action.relay)
+        return this->probeFrom({ .from = instance, .via = instance, .life = life, .sentAt = this->time.now() }, action);
+    const Milliseconds sentAt = this->time.now();
+    this->connect(instance, action.probe.backendServer, action.probe.address, action.relay,
+        [this, instance, life, action, sentAt](ConnectOutcome outcome, std::size_t via) {
+            if (outcome == ConnectOutcome::Connected)
+                return this->probeFrom({ .from = instance, .via = via, .life = life, .sentAt = sentAt }, action);
+            this->deliver(instance, life, ProbeEnded{ .probe = action.probe.number });
+        });
+}
+
+void VirtualFleet::probeFrom(const OpenAttempt& open, const SendProbe& action)
+{
     VirtualBackendServer* server = this->serverAt(action.probe.address);
-    const bool isCut = this->cutBetween(instance, server) != ServerCut::None;
+    const bool isCut = this->cutBetween(open.via, server) != ServerCut::None;
     const auto figures = server && !isCut ? server->probed() : std::nullopt;
     ProbeEnd end;
     end.isOtherServer = server && !isCut && server->fault() == ServerFault::Replaced;
@@ -485,19 +561,22 @@
     const ServerNoticed noticed{ .backendServer = action.probe.backendServer,
         .life = action.probe.life,
         .notice = figures ? server->notice(server->fault() == ServerFault::Refuses) : ServerNotice{},
-        .sentAt = this->time.now() };
-    this->time.after(took, [this, instance, life, number = action.probe.number, end, noticed] {
-        this->tellNotice(instance, life, noticed);
-        this->deliver(instance, life, ProbeEnded{ .probe = number, .end = end });
+        .sentAt = open.sentAt };
+    this->time.after(took, [this, open, number = action.probe.number, end, noticed] {
+        this->tellNotice(open.from, open.life, noticed);
+        this->deliver(open.from, open.life, ProbeEnded{ .probe = number, .end = end });
     });
 }
 
 void VirtualFleet::execute(std::size_t instance, const CheckServer& action)
 {
-    const std::uint64_t life = this->nodes[instance].life;
-    const ConnectOutcome result = this->connectOutcome(instance, this->serverAt(action.address));
-    this->time.after(this->connectTime(result), [this, instance, life, result, id = action.backendServer] {
-            this->deliver(instance, life, ServerChecked{ .backendServer = id, .result = result });
+    this->connect(instance, action.backendServer, action.address, action.relay,
+        [this, instance, life = this->nodes[instance].life, action](ConnectOutcome outcome, std::size_t) {
+            this->deliver(instance, life,
+                ServerChecked{ .backendServer = action.backendServer,
+                    .result = outcome,
+                    .relay = action.relay,
+                    .isForPath = action.isForPath });
         });
 }
 
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -170,6 +170,22 @@
         Milliseconds receivesUntil = LongAgo; // the incoming link is busy until then
     };
 
+    /** Called with the outcome of a connection and the instance from which it reaches the server. */
+    using Connected = std::function<void(ConnectOutcome outcome, std::size_t via)>;
+
+    /** An attempt or probe on an open connection. */
+    struct OpenAttempt {
+        std::size_t from = 0; // the instance that sends it
+        std::size_t via = 0; // the instance that relays it; otherwise the same
+        std::uint64_t life = 0; // of the instance that sends it
+        Milliseconds sentAt;
+    };
+
+    /** Opens a connection from the instance to a server, directly or through a relay. */
+    void connect(std::size_t instance, const std::string& serverId, const NetworkAddress& address,
+        const std::optional<NetworkAddress>& relay, const Connected& done);
+    void sendOn(const OpenAttempt& open, const SendAttempt& action);
+    void probeFrom(const OpenAttempt& open, const SendProbe& action);
     NetworkAddress addressOf(std::size_t instance) const;
     std::string nameOf(std::size_t instance) const;
     void deliver(std::size_t instance, std::uint64_t life, const Event& event);
@@ -183,6 +199,7 @@
     void execute(std::size_t instance, const RefuseRequest& action);
     void execute(std::size_t instance, const SendProbe& action);
     void execute(std::size_t instance, const CheckServer& action);
+    void execute(std::size_t instance, const AnswerRelay& action);
     void execute(std::size_t instance, const SendToPeer& action);
     void execute(std::size_t instance, const CallStore& action);
     void execute(std::size_t instance, const TranslateItem& action);
@@ -224,6 +241,9 @@
     std::vector<SentProbe> probeList;
     std::vector<HeardNotice> noticeList;
     std::vector<std::size_t> messagesOf; // number of messages, by instance
+    RelayNumber lastRelay = 0;
+    std::map<RelayNumber, std::function<void(const AnswerRelay&)>> relays; // asked for and not yet answered
+    std::set<AttemptNumber> cancelled; // by the instances; a connection opened later is not used
     Observer observer;
     CallerEnded callerEnded;
 };
