--- a/Source/Traffic/RelayServer.cpp
+++ b/Source/Traffic/RelayServer.cpp
@@ -81,13 +81,13 @@
     if (!action.address)
         return found->second->refuse(statusOf(http::status::service_unavailable));
     openConnection(*this->context, *action.address, this->options.connectTimeout,
-        [this, action](const asio::error_code& error, std::shared_ptr<HttpConnection> opened) {
-            this->connected(action, error, std::move(opened));
+        [this, action](const asio::error_code& error, const std::shared_ptr<HttpConnection>& opened) {
+            this->connected(action, error, opened);
         });
 }
 
 void RelayServer::connected(
-    const AnswerRelay& action, const asio::error_code& error, std::shared_ptr<HttpConnection> opened)
+    const AnswerRelay& action, const asio::error_code& error, const std::shared_ptr<HttpConnection>& opened)
 {
     const ConnectOutcome outcome = connectOutcomeOf(error);
     if (outcome == ConnectOutcome::Refused || outcome == ConnectOutcome::NoAnswer)
--- a/Source/Traffic/RelayServer.h
+++ b/Source/Traffic/RelayServer.h
@@ -36,7 +36,8 @@
 private:
     void accept();
     void accepted(asio::ip::tcp::socket socket);
-    void connected(const AnswerRelay& action, const asio::error_code& error, std::shared_ptr<HttpConnection> opened);
+    void connected(
+        const AnswerRelay& action, const asio::error_code& error, const std::shared_ptr<HttpConnection>& opened);
 
     asio::io_context* context;
     Options options;
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -226,6 +226,35 @@
     return { .name = faultName, .inject = name(NamedLimit), .heal = name(std::nullopt), .isConfined = isConfined };
 }
 
+/** The first `instances` lose their path to these backend servers, or to all if none is named. */
+Fault pathFault(
+    std::string_view faultName, ServerCut cut, std::size_t instances, const std::set<std::string>& servers = {})
+{
+    const auto set = [instances, servers](ServerCut next) {
+        return [instances, servers, next](VirtualFleet& fleet) {
+            for (std::size_t instance = 0; instance < instances; ++instance)
+                fleet.cutFromServers(instance, next, servers);
+        };
+    };
+    return { .name = faultName, .inject = set(cut), .heal = set(ServerCut::None), .isConfined = instances == 1 };
+}
+
+std::vector<Fault> makePathFaults()
+{
+    constexpr std::size_t most = 3;
+    constexpr std::size_t all = 4;
+    return {
+        pathFault("cut-from-servers", ServerCut::Silent, 1),
+        pathFault("cut-from-servers-one-way", ServerCut::OneWay, 1),
+        pathFault("reset-from-servers", ServerCut::Reset, 1),
+        pathFault("new-connections-refused", ServerCut::NewRefused, 1),
+        pathFault("new-connections-silent", ServerCut::NewSilent, 1),
+        pathFault("cut-from-half-of-servers", ServerCut::Silent, 1, { "s0", "s1", "s2" }),
+        pathFault("most-cut-from-servers", ServerCut::Silent, most),
+        pathFault("all-reset-from-servers", ServerCut::Reset, all),
+    };
+}
+
 std::vector<Fault> makeWordFaults()
 {
     constexpr std::size_t half = 3;
@@ -248,6 +277,12 @@
     return faults;
 }
 
+std::span<const Fault> pathFaults()
+{
+    static const std::vector<Fault> faults = makePathFaults();
+    return faults;
+}
+
 std::span<const Fault> laterFaults()
 {
     static const std::vector<Fault> faults = makeLaterFaults();
--- a/Tests/FaultMatrix/Fault.h
+++ b/Tests/FaultMatrix/Fault.h
@@ -27,5 +27,7 @@
 std::span<const Fault> laterFaults();
 /** Backend servers that report that they leave, ask for a pause, or report a limit; kept apart for the same reason. */
 std::span<const Fault> wordFaults();
+/** Lost network paths from instances to backend servers; kept apart for the same reason. */
+std::span<const Fault> pathFaults();
 
 }
--- a/Tests/FaultMatrix/FaultMatrix.cc
+++ b/Tests/FaultMatrix/FaultMatrix.cc
@@ -117,6 +117,27 @@
     return jobs;
 }
 
+/** Every fault of pathFaults() at every step, and with every other fault. */
+std::vector<Job> pathJobs()
+{
+    constexpr std::uint64_t firstSeed = 60000;
+    std::vector<Job> jobs;
+    const auto add = [&](const Step& step, std::vector<const Fault*> faults) {
+        jobs.push_back(jobOf(step, std::move(faults), firstSeed + jobs.size()));
+    };
+    for (const Step& step : allSteps()) {
+        for (const Fault& fault : pathFaults())
+            add(step, { &fault });
+    }
+    for (const Fault& fault : pathFaults()) {
+        for (const auto others : { allFaults().subspan(1), laterFaults(), wordFaults() }) {
+            for (const Fault& other : others)
+                add(allSteps()[jobs.size() % allSteps().size()], { &other, &fault });
+        }
+    }
+    return jobs;
+}
+
 /** Limits reported by servers, in fleets of the current and the planned size. */
 const std::vector<LimitPlay>& largeFleets()
 {
@@ -143,6 +164,8 @@
         jobs.push_back(std::move(job));
     for (Job& job : wordJobs())
         jobs.push_back(std::move(job));
+    for (Job& job : pathJobs())
+        jobs.push_back(std::move(job));
     const std::size_t cells = jobs.size();
     for (const LimitPlay& play : largeFleets())
         jobs.push_back({ .name = play.name, .play = &play, .step = {}, .faults = {}, .broken = {} });
--- a/Tests/Node/LostPathTest.cpp
+++ b/Tests/Node/LostPathTest.cpp
@@ -205,7 +205,7 @@
 
 }
 
-TEST_GROUP(LostPath) {};
+TEST_GROUP(LostPath){};
 
 // Guards against callers of an instance without a path to backend servers being served less than two thirds as often
 // as callers of the other instances.
--- /dev/null
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -0,0 +1,220 @@
+// A connection that one instance relays to a backend server for another one,
+// over real loopback connections. Guards against a relayed answer being cut or
+// completed wrongly, and against a failure before the request was sent being
+// reported as one after it, or the reverse.
+
+#include "Traffic/RelayServer.h"
+#include "Base/ChronoDuration.h"
+#include "Http/HttpExchange.h"
+#include "Traffic/ConnectError.h"
+
+#include <array>
+#include <asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Redefines operator new: after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace burlreach;
+
+namespace {
+
+constexpr const char* Loopback = "127.0.0.1";
+constexpr std::uint16_t RelayPort = 39481;
+constexpr std::uint16_t ClosedPort = 39482;
+const NetworkAddress Relay{ .host = Loopback, .port = RelayPort };
+
+/** What the backend server does with a request. */
+enum class Behaviour {
+    Answers,
+    AnswersWithoutLength, // closes in order after the body
+    ResetsAfterHeader,
+    NeverAnswers
+};
+
+/** A backend server for one connection. */
+class OneConnectionServer {
+public:
+    OneConnectionServer(asio::io_context& context, Behaviour givenBehaviour)
+        : acceptor(context, { asio::ip::make_address(Loopback), 0 })
+        , socket(context)
+        , behaviour(givenBehaviour)
+    {
+        this->acceptor.async_accept(this->socket, [this](const asio::error_code& error) {
+            if (!error)
+                this->read();
+        });
+    }
+
+    NetworkAddress address() const { return { .host = Loopback, .port = this->acceptor.local_endpoint().port() }; }
+    const std::string& received() const { return this->input; }
+    bool isClosed() const { return this->closed; }
+
+private:
+    void read()
+    {
+        this->socket.async_read_some(
+            asio::buffer(this->chunk), [this](const asio::error_code& error, std::size_t size) {
+                this->closed = this->closed || error;
+                if (error)
+                    return;
+                this->input.append(this->chunk.data(), size);
+                if (this->input.ends_with("\r\n\r\n"))
+                    this->answer();
+                this->read();
+            });
+    }
+
+    void answer()
+    {
+        asio::error_code ignored;
+        const std::string start = "HTTP/1.1 200 OK\r\n";
+        switch (this->behaviour) {
+        case Behaviour::Answers:
+            asio::write(this->socket, asio::buffer(start + "Content-Length: 3\r\n\r\nabc"), ignored);
+            return;
+        case Behaviour::AnswersWithoutLength:
+            asio::write(this->socket, asio::buffer(start + "Connection: close\r\n\r\nabc"), ignored);
+            this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            return;
+        case Behaviour::ResetsAfterHeader:
+            asio::write(this->socket, asio::buffer(start + "Connection: close\r\n\r\nab"), ignored);
+            this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            this->socket.close(ignored);
+            return;
+        case Behaviour::NeverAnswers:
+            return;
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    Behaviour behaviour;
+    std::array<char, 1024> chunk{};
+    std::string input;
+    bool closed = false;
+};
+
+/** Answers the questions of a RelayServer as a Node would. */
+class AnsweringSink final : public EventSink {
+public:
+    void post(const Event& event) override
+    {
+        if (const auto* asked = std::get_if<RelayAsked>(&event))
+            this->onAsked(*asked);
+        this->checks += std::holds_alternative<ServerChecked>(event) ? 1 : 0;
+    }
+
+    std::function<void(const RelayAsked&)> onAsked;
+    std::size_t checks = 0; // failed connections that the relay reported
+};
+
+struct Case {
+    const char* name;
+    Behaviour behaviour;
+    bool isServerThere;
+    bool isAllowed; // the relaying instance has a path
+    HttpExchangeResult result;
+    ConnectOutcome connect;
+    const char* body;
+};
+
+const std::vector<Case> Cases{
+    { "answer with a length", Behaviour::Answers, true, true, HttpExchangeResult::Answered, ConnectOutcome::Connected,
+        "abc" },
+    { "answer without a length", Behaviour::AnswersWithoutLength, true, true, HttpExchangeResult::Answered,
+        ConnectOutcome::Connected, "abc" },
+    { "reset within the answer", Behaviour::ResetsAfterHeader, true, true, HttpExchangeResult::Broken,
+        ConnectOutcome::Connected, "" },
+    { "server that refuses connections", Behaviour::Answers, false, true, HttpExchangeResult::NotSent,
+        ConnectOutcome::Refused, "" },
+    { "relay without a path", Behaviour::Answers, true, false, HttpExchangeResult::NotSent,
+        ConnectOutcome::RelayUnavailable, "" },
+};
+
+/** A relay, a backend server and one exchange through the relay. */
+struct RelayedExchange {
+    explicit RelayedExchange(const Case& item)
+        : server(this->context, item.behaviour)
+        , relay(this->context, {}, { .sink = &this->sink, .metrics = &this->metrics })
+    {
+        this->sink.onAsked = [this, &item](const RelayAsked& asked) {
+            AnswerRelay answer{ .relay = asked.relay, .backendServer = asked.backendServer };
+            if (item.isAllowed)
+                answer.address = item.isServerThere ? this->server.address()
+                                                    : NetworkAddress{ .host = Loopback, .port = ClosedPort };
+            this->relay.execute(answer);
+        };
+        CHECK(!this->relay.listen(Relay));
+    }
+
+    std::shared_ptr<HttpExchange> start(const NetworkAddress& relayAddress)
+    {
+        HttpExchange::Options options;
+        options.relay = RelayTarget{ .relay = relayAddress, .backendServer = "s1" };
+        options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        const auto exchange = std::make_shared<HttpExchange>(
+            this->context, std::move(options), [this](HttpExchangeEnd ended) { this->end = std::move(ended); });
+        exchange->start(nullptr);
+        return exchange;
+    }
+
+    void runFor(Milliseconds span) { this->context.run_for(toDuration(span)); }
+
+    asio::io_context context;
+    AnsweringSink sink;
+    TrafficMetrics metrics;
+    OneConnectionServer server;
+    RelayServer relay;
+    std::optional<HttpExchangeEnd> end;
+};
+
+}
+
+TEST_GROUP(RelayServer){};
+
+TEST(RelayServer, PassesAnswersAndFailuresOn)
+{
+    for (const Case& item : Cases) {
+        RelayedExchange exchange(item);
+        exchange.start(Relay);
+        exchange.runFor({ 150 });
+        CHECK_TEXT(exchange.end.has_value(), item.name);
+        CHECK_TEXT(exchange.end->result == item.result, item.name);
+        CHECK_TEXT(connectOutcomeOf(*exchange.end) == item.connect, item.name);
+        CHECK_TEXT(!exchange.end->connection, item.name);
+        STRCMP_EQUAL_TEXT(item.body, exchange.end->response ? exchange.end->response->body().c_str() : "", item.name);
+        LONGS_EQUAL_TEXT(0, exchange.metrics.openRelays, item.name);
+        LONGS_EQUAL_TEXT(item.connect == ConnectOutcome::Refused ? 1 : 0, exchange.sink.checks, item.name);
+    }
+}
+
+TEST(RelayServer, RelayThatDoesNotListenProvesThatNothingWasSent)
+{
+    RelayedExchange exchange(Cases.front());
+    exchange.start({ .host = Loopback, .port = ClosedPort });
+    exchange.runFor({ 100 });
+    CHECK(exchange.end.has_value());
+    CHECK(exchange.end->result == HttpExchangeResult::NotSent);
+    CHECK(connectOutcomeOf(*exchange.end) == ConnectOutcome::RelayUnavailable);
+    CHECK(exchange.server.received().empty());
+}
+
+// Guards against a server that works on for a caller that has left, because the relay keeps its connection open.
+TEST(RelayServer, CancelledRequestClosesTheConnectionToTheServer)
+{
+    RelayedExchange exchange(
+        { "", Behaviour::NeverAnswers, true, true, HttpExchangeResult::Broken, ConnectOutcome::Connected, "" });
+    const auto running = exchange.start(Relay);
+    exchange.runFor({ 100 });
+    CHECK(!exchange.server.received().empty());
+    CHECK(!exchange.server.isClosed());
+    running->cancel();
+    exchange.runFor({ 100 });
+    CHECK(exchange.server.isClosed());
+    LONGS_EQUAL(0, exchange.metrics.openRelays);
+}
