Tell other instances of lost paths with the regular messages only

A crash of servers makes many instances of a fleet suspect their paths for a moment; each would have sent messages to all watchers, and each watcher an update to all, out of turn.

--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -72,14 +72,6 @@
     this->nextSeeds = LongAgo;
 }
 
-bool GossipExchange::setLostPaths(bool hasLostPaths)
-{
-    if (this->options.self.has_lost_paths() == hasLostPaths)
-        return false;
-    this->options.self.set_has_lost_paths(hasLostPaths);
-    return true;
-}
-
 void GossipExchange::send(const NetworkAddress& address, peers::PeerMessage message, Actions& actions) const
 {
     actions.emplace_back(makeSendToPeer(address, this->options.self.incarnation(), std::move(message)));
--- a/Source/Node/GossipExchange.h
+++ b/Source/Node/GossipExchange.h
@@ -89,8 +89,8 @@
     void notifyOthers(Milliseconds now, Actions& actions);
     /** Sends a hello, with what was learned here, to the instances that watch the store. */
     void notifyWatchers(Milliseconds now, Actions& actions) { this->sendHellos(now, actions); }
-    /** Sets what other instances are told about this one's paths to backend servers; true when that changed. */
-    bool setLostPaths(bool hasLostPaths);
+    /** Sets what other instances are told about this one's paths to backend servers, with the next messages. */
+    void setLostPaths(bool hasLostPaths) { this->options.self.set_has_lost_paths(hasLostPaths); }
     void setSeeds(std::vector<NetworkAddress> seeds);
     void tick(Milliseconds now, Actions& actions);
     Milliseconds nextDue() const;
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -180,8 +180,8 @@
         this->crashes.handleServerCheck(finding, now, actions);
     for (const std::string& server : this->paths.applyChanges(actions))
         this->flow.pathLost(server, now);
-    if (this->gossip.setLostPaths(this->paths.isImpaired()))
-        this->gossip.notifyOthers(now, actions);
+    // Sent with the next regular messages: when servers crash, all instances of a large fleet would report at once.
+    this->gossip.setLostPaths(this->paths.isImpaired());
 }
 
 void Node::shareLeavingSigns(Milliseconds now, Actions& actions)
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -147,7 +147,7 @@
     void shareLeavingSigns(Milliseconds now, Actions& actions);
     /** Sends limits named by servers to other instances, and continues requests that waited for permits. */
     void shareLimits(Milliseconds now, Actions& actions);
-    /** Applies lost and restored paths to servers and requests, and tells other instances whether any path is lost. */
+    /** Applies lost and restored paths to servers, requests and the messages to other instances. */
     void applyPathChanges(Milliseconds now, Actions& actions);
 
     Options options;
