--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -157,7 +157,7 @@
         HttpExchange::Options options;
         options.relay = RelayTarget{ .relay = relayAddress, .backendServer = "s1" };
         options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-        const auto exchange = std::make_shared<HttpExchange>(
+        auto exchange = std::make_shared<HttpExchange>(
             this->context, std::move(options), [this](HttpExchangeEnd ended) { this->end = std::move(ended); });
         exchange->start(nullptr);
         return exchange;
