--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -142,7 +142,7 @@
         : server(this->context, item.behaviour)
         , relay(this->context, {}, { .sink = &this->sink, .metrics = &this->metrics })
     {
-        this->sink.onAsked = [this, &item](const RelayAsked& asked) {
+        this->sink.onAsked = [this, item](const RelayAsked& asked) {
             AnswerRelay answer{ .relay = asked.relay, .backendServer = asked.backendServer };
             if (item.isAllowed)
                 answer.address = item.isServerThere ? this->server.address()
