Log what a retry budget counted when it denies a retry, and the fleet's size

The lines could not tell a new life that spends its predecessor's budget again from a slack that is divided by too few instances.

retry_denied now has the service, the first attempts and retries in the last window and the number that the slack is divided by; fleet_size_changed has the number of instances that this one knows and the one that limits of the whole fleet are divided by. Counters of retries by reason, the free ones among them, exist. No decision changes.

--- a/Source/Attempts/RetryBudget.cpp
+++ b/Source/Attempts/RetryBudget.cpp
@@ -55,4 +55,11 @@
     return this->takeWithin(HedgeShare, now);
 }
 
+RetryUsage RetryBudget::usage(Milliseconds now)
+{
+    return { .firstAttempts = this->firsts.count(now),
+        .retries = this->retries.count(now),
+        .instances = std::max(this->instances, FewestInstances) };
+}
+
 }
--- a/Source/Attempts/RetryBudget.h
+++ b/Source/Attempts/RetryBudget.h
@@ -3,6 +3,9 @@
 #include "Attempts/SlidingCount.h"
 #include "Base/Milliseconds.h"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace burlreach {
 
 /** The bound on retries of one service by the whole fleet. */
@@ -12,6 +15,13 @@
     Milliseconds window{ 10000 };
 };
 
+/** What a budget counted within the last window, and what its share of the slack is divided by. */
+struct RetryUsage {
+    std::uint64_t firstAttempts = 0;
+    std::uint64_t retries = 0; // hedges included
+    std::size_t instances = 0;
+};
+
 /**
  * This instance's share of the fleet's bound on retries and hedges.
  *
@@ -35,6 +45,9 @@
     /** True when take() would succeed. */
     bool hasLeft(Milliseconds now) { return this->isWithin(1, now); }
 
+    /** The inputs of the latest decision, for log records. */
+    RetryUsage usage(Milliseconds now);
+
 private:
     bool isWithin(double part, Milliseconds now);
     bool takeWithin(double part, Milliseconds now);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -296,7 +296,7 @@
         actions.emplace_back(this->handleBackendServerChange(change, now, actions).with("heard_from", "nobody"));
     const std::size_t members = this->gossip.instances(now);
     this->fleetSize.counted(members, now);
-    this->services.setInstances({ .known = members, .atLeast = this->fleetSize.atLeast(now) });
+    this->setFleetCount({ .known = members, .atLeast = this->fleetSize.atLeast(now) }, actions);
     this->quotas.setInstances(this->fleetSize.atLeast(now));
     this->limits.tick(this->fleetSize.atLeast(now), now);
     this->probes.setFleet(members, this->services.dataCentres());
@@ -304,6 +304,19 @@
     this->logStaleness(now, actions);
 }
 
+void Node::setFleetCount(const FleetCount& count, Actions& actions)
+{
+    if (count == this->fleetCount)
+        return;
+    DecisionRecord record = knowledgeRecord("fleet_size_changed", this->options.name);
+    record.with("known", std::uint64_t{ count.known }).with("known_before", std::uint64_t{ this->fleetCount.known });
+    if (count.atLeast)
+        record.with("at_least", std::uint64_t{ *count.atLeast });
+    actions.emplace_back(std::move(record));
+    this->fleetCount = count;
+    this->services.setInstances(count);
+}
+
 void Node::callStore(Milliseconds now, Actions& actions)
 {
     this->store.callIfDue(this->gossip.shouldWatch(now), now, actions);
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -137,6 +137,8 @@
     void applyDataCentres(const TranslatedItem& item, Milliseconds now, Actions& actions);
     /** Drops state and connections that the change makes invalid; returns the change's log record. */
     DecisionRecord handleBackendServerChange(const BackendServerChange& change, Milliseconds now, Actions& actions);
+    /** Applies and logs the number of instances among which limits of the whole fleet are divided. */
+    void setFleetCount(const FleetCount& count, Actions& actions);
     void callStore(Milliseconds now, Actions& actions);
     /** Sends new evidence about requests that crash servers to other instances and to the store. */
     void shareCrashes(Milliseconds now, Actions& actions);
@@ -170,6 +172,7 @@
     ServerRateLimiter limits;
     PathManager paths;
     FleetSize fleetSize;
+    FleetCount fleetCount; // in use
     ProbeManager probes;
     RequestFlow flow;
     ChangeCoordinator changes;
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -366,7 +366,7 @@
         return false;
     if (needsBudget(end.result) && !request.service->retryBudget.take(now)) {
         this->dependencies.counters->add(DecisionCount::RetriesDenied);
-        actions.emplace_back(recordOfRequest(RecordTopic::Refusal, "retry_denied", request));
+        actions.emplace_back(recordOfRetryDenied(request, now));
         return false;
     }
     this->dependencies.counters->add(retryReasonOf(end.result));
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -70,6 +70,16 @@
     return record;
 }
 
+DecisionRecord recordOfRetryDenied(const RequestState& request, Milliseconds now)
+{
+    const RetryUsage usage = request.service->retryBudget.usage(now);
+    return recordOfRequest(RecordTopic::Refusal, "retry_denied", request)
+        .with("service", request.service->description.name)
+        .with("first_attempts", usage.firstAttempts)
+        .with("retries", usage.retries)
+        .with("instances", std::uint64_t{ usage.instances });
+}
+
 DecisionRecord recordOfAnswered(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
 {
--- a/Source/Node/RequestRecords.h
+++ b/Source/Node/RequestRecords.h
@@ -25,6 +25,8 @@
     const RequestState& request, const BackendServerState& server, const KnowledgeUsed& used, Milliseconds now);
 DecisionRecord recordOfFailed(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now);
+/** The log record of a retry that the budget did not allow, with the inputs of that decision. */
+DecisionRecord recordOfRetryDenied(const RequestState& request, Milliseconds now);
 DecisionRecord recordOfAnswered(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now);
 DecisionRecord recordOfRefused(
