--- a/Source/Node/CrashRecorder.cpp
+++ b/Source/Node/CrashRecorder.cpp
@@ -1,6 +1,5 @@
 #include "Node/CrashRecorder.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <google/protobuf/util/json_util.h>
 #include <set>
@@ -40,59 +39,20 @@
     return text;
 }
 
-CrashRecorder::CrashRecorder(Options givenOptions, StoreCallNumbers& givenNumbers, Random& givenRandom)
-    : options(givenOptions)
-    , numbers(&givenNumbers)
-    , random(&givenRandom)
-    , backoff({})
+CrashRecorder::CrashRecorder(StoreCallNumbers& numbers, Random& random)
+    : writer({ .key = CrashesKey }, numbers, random)
 {
 }
 
-void CrashRecorder::scheduleCheck(Milliseconds now)
-{
-    this->dueAt = std::min(this->dueAt, now + this->options.settleDelay);
-}
-
 std::optional<StoreRequest> CrashRecorder::nextWrite(
     const peers::CrashNews& kept, const StoreItem* stored, bool leads, Milliseconds now)
 {
     const auto storedCrashes = stored ? readCrashRecord(stored->value) : std::optional<peers::CrashNews>(std::in_place);
     if (storedCrashes && crashKeysOf(*storedCrashes) == crashKeysOf(kept)) {
-        this->dueAt = Never;
-        return std::nullopt;
-    }
-    this->dueAt = now + this->options.recheckInterval;
-    if (!leads)
+        this->writer.nothingToWrite();
         return std::nullopt;
-    StoreRequest request;
-    request.number = this->numbers->next();
-    request.operation = StoreOperation::Write;
-    request.key = CrashesKey;
-    request.value = writeCrashRecord(kept);
-    request.expected = stored ? stored->revision : 0;
-    request.timeout = this->options.answerTimeout;
-    this->value = request.value;
-    this->pending = request.number;
-    return request;
-}
-
-bool CrashRecorder::answered(const StoreAnswer& answer, Milliseconds now)
-{
-    if (!this->pending || answer.number != this->pending)
-        return false;
-    this->pending = 0;
-    if (answer.status == StoreStatus::Done) {
-        this->backoff.reset();
-        this->written
-            = StoreItem{ .key = CrashesKey, .value = std::move(this->value), .revision = answer.at, .removed = false };
-        // Check again: more crashes may have become known during the write.
-        this->scheduleCheck(now);
-        return true;
     }
-    // Before the next try, the watch delivers the current item: after a conflict another instance's, after a lost
-    // answer possibly the one written here.
-    this->dueAt = now + this->options.settleDelay + this->backoff.next(*this->random);
-    return true;
+    return this->writer.write(writeCrashRecord(kept), stored, leads, now);
 }
 
 }
--- a/Source/Node/CrashRecorder.h
+++ b/Source/Node/CrashRecorder.h
@@ -2,7 +2,7 @@
 
 #include "Base/Milliseconds.h"
 #include "Base/Random.h"
-#include "Exchange/Backoff.h"
+#include "Store/ItemWriter.h"
 #include "Store/StoreCall.h"
 #include "Store/StoreCallNumbers.h"
 #include "Store/StoreItem.h"
@@ -10,7 +10,6 @@
 
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace burlreach {
 
@@ -31,35 +30,22 @@
  */
 class CrashRecorder {
 public:
-    struct Options {
-        Milliseconds settleDelay{ 200 }; // delay after a change; the second and third crash usually come close together
-        Milliseconds recheckInterval{ 1000 }; // the leading watcher may fail before it has written
-        Milliseconds answerTimeout{ 1500 };
-    };
-
-    CrashRecorder(Options options, StoreCallNumbers& numbers, Random& random);
+    CrashRecorder(StoreCallNumbers& numbers, Random& random);
 
     /** Schedules a check, because the known crashes may now differ from the stored record. */
-    void scheduleCheck(Milliseconds now);
-    bool isDue(Milliseconds now) const { return !this->pending && now >= this->dueAt; }
+    void scheduleCheck(Milliseconds now) { this->writer.scheduleCheck(now); }
+    bool isDue(Milliseconds now) const { return this->writer.isDue(now); }
     /** The write to send, if one is needed. stored is this instance's copy of the stored item, or null. */
     std::optional<StoreRequest> nextWrite(
         const peers::CrashNews& kept, const StoreItem* stored, bool leads, Milliseconds now);
     /** True when the answer belongs to a call of this object. */
-    bool answered(const StoreAnswer& answer, Milliseconds now);
+    bool answered(const StoreAnswer& answer, Milliseconds now) { return this->writer.answered(answer, now); }
     /** The item written and acknowledged since the last call of this function. */
-    std::optional<StoreItem> takeWritten() { return std::exchange(this->written, std::nullopt); }
-    Milliseconds nextDue() const { return this->pending ? Never : this->dueAt; }
+    std::optional<StoreItem> takeWritten() { return this->writer.takeWritten(); }
+    Milliseconds nextDue() const { return this->writer.nextDue(); }
 
 private:
-    Options options;
-    StoreCallNumbers* numbers;
-    Random* random;
-    Backoff backoff;
-    Milliseconds dueAt = Never;
-    StoreCallNumber pending = 0;
-    std::string value; // of the pending write
-    std::optional<StoreItem> written;
+    ItemWriter writer;
 };
 
 }
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -31,7 +31,7 @@
     , signs({}, this->notices, this->services)
     , pauses({}, { .book = &this->notices, .services = &this->services, .random = &this->random })
     , crashes({ .table = { .instance = givenOptions.name } }, this->decisionCounters)
-    , crashRecorder({}, this->storeCalls, this->random)
+    , crashRecorder(this->storeCalls, this->random)
     , store(readerOf(givenOptions), *this, this->storeCalls, this->random, this->decisionCounters)
     , gossip({ .self = memberOf(givenOptions),
                  .seeds = givenOptions.seeds,
--- a/Tests/Node/CrashRecorderTest.cpp
+++ b/Tests/Node/CrashRecorderTest.cpp
@@ -34,7 +34,7 @@
 {
     StoreCallNumbers numbers;
     Random random{ 1 };
-    CrashRecorder recorder{ {}, this->numbers, this->random };
+    CrashRecorder recorder{ this->numbers, this->random };
 };
 
 TEST(CrashRecorder, WritesWhatEveryFormOfTheStoreCanHold)
