Retries use tokens that expire, so that new lives do not spend a budget again

Cause: an instance could spend all that 10 s of first attempts earn at once, and a new life earned again while its predecessor's retries still stood in the same window. A service removed from the configuration and added again began anew too.

Why it works: a retry uses a token that a first attempt or the passing of time earned; tokens expire, a life begins with none, and what is earned is lowered so that a window and one lifetime before it earn the bound of one window. Restarts only lose tokens. docs/design/retry-budget.md has the four forms weighed.

SilentRequestsTest assumed the fault: an instance that had just started had a budget for its first hedge. It now sends 15 requests before, which earn it; its checks are the same.

--- a/Source/Attempts/RetryBudget.h
+++ b/Source/Attempts/RetryBudget.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Attempts/ExpiringTokens.h"
 #include "Attempts/SlidingCount.h"
 #include "Base/Milliseconds.h"
+#include "Base/Random.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace burlreach {
 
@@ -19,22 +22,24 @@
 struct RetryUsage {
     std::uint64_t firstAttempts = 0;
     std::uint64_t retries = 0; // hedges included
-    std::size_t instances = 0;
+    std::optional<std::size_t> instances; // nullopt: unknown, nothing is earned from the slack
 };
 
 /**
  * This instance's share of the fleet's bound on retries and hedges.
  *
- * Each instance retries at most a share of its own first attempts, so that the bound on the sum holds for any number of
- * instances, whether or not they know each other. Only the slack depends on the number of instances. It is divided by
- * twice that number, so that instances that restart do not spend it twice.
+ * A retry uses a token. First attempts earn tokens, so that the bound on the sum holds for any number of instances,
+ * whether or not they know each other; the slack, divided by the number of instances, earns them with time. Tokens
+ * expire, and a new budget has none, so instances that restart do not spend theirs twice. What is earned is lowered so
+ * that a window and the lifetime before it earn no more than the bound of one window. See docs/design/retry-budget.md.
  */
 class RetryBudget {
 public:
-    explicit RetryBudget(const RetryLimits& limits);
+    /** `random` chooses at which fraction of its first tokens this budget begins. */
+    RetryBudget(const RetryLimits& limits, Random random);
 
-    /** Sets the size of the fleet. */
-    void setInstances(std::size_t instances) { this->instances = instances; }
+    /** Sets the least size of the fleet; nullopt while it is unknown. */
+    void setInstances(std::optional<std::size_t> instances) { this->instances = instances; }
     /** Counts a first attempt, which adds to the budget. */
     void firstAttempt(Milliseconds now);
     /** Takes one retry from the budget; false when it is used up. */
@@ -43,17 +48,21 @@
     bool takeForHedge(Milliseconds now);
 
     /** True when take() would succeed. */
-    bool hasLeft(Milliseconds now) { return this->isWithin(1, now); }
+    bool hasLeft(Milliseconds now);
 
     /** The inputs of the latest decision, for log records. */
     RetryUsage usage(Milliseconds now);
 
 private:
-    bool isWithin(double part, Milliseconds now);
-    bool takeWithin(double part, Milliseconds now);
+    /** Adds what the slack earned since the last call. */
+    void earnFromSlack(Milliseconds now);
 
     RetryLimits limits;
-    std::size_t instances = 1;
+    std::optional<std::size_t> instances;
+    Milliseconds slackEarnedUntil = Never; // Never: nothing was earned yet
+    ExpiringTokens ofFirsts;
+    ExpiringTokens ofSlack;
+    ExpiringTokens forHedges; // a hedge needs one of these besides
     SlidingCount firsts;
     SlidingCount retries;
 };
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -73,11 +73,13 @@
 DecisionRecord recordOfRetryDenied(const RequestState& request, Milliseconds now)
 {
     const RetryUsage usage = request.service->retryBudget.usage(now);
-    return recordOfRequest(RecordTopic::Refusal, "retry_denied", request)
-        .with("service", request.service->description.name)
+    DecisionRecord record = recordOfRequest(RecordTopic::Refusal, "retry_denied", request);
+    record.with("service", request.service->description.name)
         .with("first_attempts", usage.firstAttempts)
-        .with("retries", usage.retries)
-        .with("instances", std::uint64_t{ usage.instances });
+        .with("retries", usage.retries);
+    if (usage.instances)
+        record.with("instances", std::uint64_t{ *usage.instances });
+    return record;
 }
 
 DecisionRecord recordOfAnswered(
--- a/Source/Node/ServiceState.cpp
+++ b/Source/Node/ServiceState.cpp
@@ -27,10 +27,10 @@
 
 }
 
-ServiceState::ServiceState(
-    std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions, const RetryLimits& limits)
+ServiceState::ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions,
+    const RetryLimits& limits, const Random& random)
     : pool(std::move(policy), poolOptions)
-    , retryBudget(limits)
+    , retryBudget(limits, random)
 {
 }
 
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -4,6 +4,7 @@
 #include "Admission/CallerWaitEstimator.h"
 #include "Admission/WaitingQueue.h"
 #include "Attempts/RetryBudget.h"
+#include "Base/Random.h"
 #include "Configuration/RoutingConfiguration.h"
 #include "Routing/ServicePool.h"
 
@@ -25,7 +26,8 @@
 
 /** The state of one service on this instance. */
 struct ServiceState {
-    ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions, const RetryLimits& limits);
+    ServiceState(std::unique_ptr<RoutingPolicy> policy, ServicePool::Options poolOptions, const RetryLimits& limits,
+        const Random& random);
 
     void configure(const ServiceDescription& description, const FleetCount& fleet);
     /** Mean response time of the route; estimated from its target latency before the first answer. */
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -41,8 +41,9 @@
         if (isNew) {
             RetryLimits limits = this->options.retries;
             limits.share = std::min(limits.share, description.retryShare);
+            // A copy of the generator, so that this instance's other random choices stay the same.
             state = std::make_shared<ServiceState>(
-                this->options.policies->create(), this->options.policies->poolOptions(), limits);
+                this->options.policies->create(), this->options.policies->poolOptions(), limits, *this->random);
         }
         state->configure(description, this->instances);
         for (const auto& [id, record] : this->records) {
--- a/Tests/Node/SilentRequestsTest.cpp
+++ b/Tests/Node/SilentRequestsTest.cpp
@@ -17,6 +17,9 @@
 /** Two hedge checks after the sound server has a free slot again, and the processing time. */
 constexpr Milliseconds AnsweredWithin{ 1500 };
 
+/** Answered requests before, which earn the budget for the hedge. */
+constexpr int EarlierRequests = 15;
+
 /** The servers besides the silent one when a hedge is first considered. */
 struct Case {
     const char* name;
@@ -56,6 +59,12 @@
     fleet.configure(configurationOf({ "sound" }, 1));
     fleet.startAll();
     fleet.run({ 500 });
+    // An instance begins without a budget for hedges.
+    for (int request = 0; request < EarlierRequests; ++request) {
+        fleet.send(0, "bookings.example", "GET", "/search", Patience);
+        fleet.run(Work * (1.0 / 3));
+    }
+    fleet.run(Work);
     for (int booking = 0; booking < 3; ++booking)
         fleet.send(0, "bookings.example", "POST", "/book", Patience);
     fleet.run({ 20 });
