Ask for permits that begin before the request's waiting time ends

What callers saw: of the requests that a server with a named limit would have taken, up to a third was refused although callers waited.

Cause: under demand, nearly every permit is granted at the far end of what the asking request can still wait. With the way of the answer and 10 ms between two looks at the queue, the request was often refused just before its permit began, and the permit lapsed unused.

--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -16,6 +16,9 @@
 constexpr double SilenceFactor = 2;
 constexpr Milliseconds MinSilence{ 300 };
 
+/** Time for the answer to a permit request, and for the next look at the queue (QueueCheckInterval). */
+constexpr Milliseconds PermitMargin{ 20 };
+
 }
 
 RequestFlow::RequestFlow(Options givenOptions, Dependencies givenParts)
@@ -215,7 +218,9 @@
             continue;
         }
         ServerChoice choice = this->chooser.chooseOrProbe(request, now, actions);
-        if (!choice.server && this->dependencies.limits->requestQueued(service, request.waitUntil - now, now, actions))
+        // A permit that begins as the request's time ends would be granted in vain.
+        const Milliseconds patience = request.waitUntil - now - PermitMargin;
+        if (!choice.server && this->dependencies.limits->requestQueued(service, patience, now, actions))
             choice = this->chooser.chooseOrProbe(request, now, actions);
         if (choice.server) {
             this->send(request, std::move(choice.server), now, actions);
