Fault matrix: check the bound on retries in every cell

Requests that reach a server are recorded by the virtual fleet; attempts whose connection never came up do not count. Each cell now runs with a window of 2 s and a slack of 8 and checks every window, also across kills, cuts and suspensions.

--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -2,6 +2,7 @@
 
 #include "Tests/FaultMatrix/Promises.h"
 #include "Tests/Virtual/LimitsKept.h"
+#include "Tests/Virtual/RetriesKept.h"
 #include "Tests/Virtual/WordsKept.h"
 
 #include <algorithm>
@@ -58,10 +59,14 @@
     { "idle", 1 },
 } };
 
+/** Smaller than usual, since the fleet is small and the faults are short. */
+constexpr RetryLimits Retries{ .share = 0.2, .slack = 8, .window = { 2000 } };
+
 VirtualFleet::Options fleetOptions(std::uint64_t seed)
 {
     VirtualFleet::Options options;
     options.instances = Instances;
+    options.retries = Retries;
     options.seed = seed;
     return options;
 }
@@ -228,6 +233,8 @@
     constexpr LimitBound limits{ .window = { 1000 }, .factor = 1, .settling = { 1000 } };
     for (const std::string& sentence : limitsExceeded(this->fleet, limits, limitsEndAt))
         broken.push_back(sentence);
+    for (const std::string& sentence : retriesExceeded(this->fleet, Retries))
+        broken.push_back(sentence);
     for (const std::string& sentence : sentAgainstWords(this->fleet))
         broken.push_back(sentence);
     if (fellBack)
--- a/Tests/Virtual/RetriesKept.cpp
+++ b/Tests/Virtual/RetriesKept.cpp
@@ -18,11 +18,10 @@
 {
     std::vector<Milliseconds> times;
     std::set<std::string> known;
-    for (const SentAttempt& attempt : fleet.sentAttempts()) {
-        if (attempt.isListening && !known.insert(attempt.requestId).second)
+    for (const ArrivedAttempt& attempt : fleet.arrivedAttempts()) {
+        if (!known.insert(attempt.requestId).second)
             times.push_back(attempt.at);
     }
-    std::sort(times.begin(), times.end());
     return times;
 }
 
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -474,6 +474,7 @@
     const Milliseconds oneWay
         = this->options.toServer + (open.via == open.from ? Milliseconds{} : this->options.toPeer);
     this->time.after(oneWay, [this, server, arrival, open, action, oneWay] {
+        this->arrived.push_back({ .requestId = arrival.requestId, .at = this->time.now() });
         server->receive(arrival, [this, server, open, action, oneWay](const ServerWord& word) {
             this->time.after(oneWay, [this, server, open, action, word] {
                 const ServerCut cut = this->cutBetween(open.via, server);
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -29,6 +29,12 @@
     bool crashesServers = false;
 };
 
+/** Record of a request that reached a backend server. */
+struct ArrivedAttempt {
+    std::string requestId;
+    Milliseconds at;
+};
+
 /** Record of a probe sent to a backend server. */
 struct SentProbe {
     std::size_t instance = 0;
@@ -141,6 +147,7 @@
     std::size_t size() const { return this->nodes.size(); }
     const std::map<std::uint64_t, VirtualCaller>& callers() const { return this->callerList; }
     const std::vector<SentAttempt>& sentAttempts() const { return this->sent; }
+    const std::vector<ArrivedAttempt>& arrivedAttempts() const { return this->arrived; }
     const std::vector<HeardNotice>& heardNotices() const { return this->noticeList; }
     std::size_t peerMessages() const { return this->peerMessageCount; }
     std::size_t peerBytes() const { return this->peerByteCount; }
@@ -234,6 +241,7 @@
     std::map<std::pair<std::size_t, AttemptNumber>, std::string> answers; // request id, by instance and attempt
     std::map<AttemptNumber, AttemptResult> answerResults;
     std::vector<SentAttempt> sent;
+    std::vector<ArrivedAttempt> arrived;
     std::uint64_t lastCaller = 0;
     std::size_t repeats = 0;
     std::size_t peerMessageCount = 0;
