Retry budget: measure the hedges' part over a whole window

The tokens that hedges need besides only divide what may be spent between hedges and retries after failures, so their lifetime has no part in the bound.

--- a/Source/Attempts/RetryBudget.cpp
+++ b/Source/Attempts/RetryBudget.cpp
@@ -12,8 +12,8 @@
  * Lifetime of tokens earned by the slack. It is long, because in a large fleet an instance earns about one a window.
  */
 constexpr double SlackLifetime = 1;
-/** Lifetime of the tokens that hedges need besides. */
-constexpr double HedgesLifetime = 0.5;
+/** Lifetime of the tokens that hedges need besides; they only divide what may be spent. */
+constexpr double HedgesLifetime = 1;
 /**
  * Share of the slack that is used. The rest covers the random fractions at which budgets begin, loads that change
  * within a window, retries that wait before they are sent, and instances that the count of the fleet lacks.
