Apply a changed share of retries to running services

What callers saw: after an operator lowered a service's retry_percent, its servers got as many repeats as before, until the instances were restarted.

Cause: the share was read only when a service was created on an instance.

Evidence: RetryBound, ALoweredShareIsInForceForRunningServices, failed on the code before (more than 8 repeats for 500 requests at a share of 1 in 100) and passes now.

--- a/Source/Attempts/RetryBudget.h
+++ b/Source/Attempts/RetryBudget.h
@@ -38,6 +38,8 @@
     /** `random` chooses at which fraction of its first tokens this budget begins. */
     RetryBudget(const RetryLimits& limits, Random random);
 
+    /** Sets the share of the first attempts that later ones earn. */
+    void setShare(double share) { this->limits.share = share; }
     /** Sets the least size of the fleet; nullopt while it is unknown. */
     void setInstances(std::optional<std::size_t> instances) { this->instances = instances; }
     /** Counts a first attempt, which adds to the budget. */
--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -39,12 +39,11 @@
         auto state = this->byName(description.name);
         const bool isNew = !state;
         if (isNew) {
-            RetryLimits limits = this->options.retries;
-            limits.share = std::min(limits.share, description.retryShare);
             // A copy of the generator, so that this instance's other random choices stay the same.
-            state = std::make_shared<ServiceState>(
-                this->options.policies->create(), this->options.policies->poolOptions(), limits, *this->random);
+            state = std::make_shared<ServiceState>(this->options.policies->create(),
+                this->options.policies->poolOptions(), this->options.retries, *this->random);
         }
+        state->retryBudget.setShare(std::min(this->options.retries.share, description.retryShare));
         state->configure(description, this->instances);
         for (const auto& [id, record] : this->records) {
             if (isNew && record.service == description.name)
--- a/Tests/Node/RetryBoundTest.cpp
+++ b/Tests/Node/RetryBoundTest.cpp
@@ -170,3 +170,28 @@
     }
     CHECK_TEXT(broken.empty(), broken.c_str());
 }
+
+// Guards against a lower share that only services added later keep to.
+TEST(RetryBound, ALoweredShareIsInForceForRunningServices)
+{
+    VirtualFleet fleet({ .instances = 3, .retries = { .share = 0.2, .slack = 0, .window = { 10000 } } });
+    for (const char* id : { "s0", "s1", "s2" })
+        fleet.addServer({ .id = id, .work = { 20 } });
+    v1::Configuration configuration = virtualConfiguration(fleet.serverIds(), 1);
+    fleet.configure(configuration);
+    fleet.startAll();
+    std::size_t turn = 0;
+    load(fleet, { 5000 }, { 20 }, turn);
+    for (const std::string& id : fleet.serverIds())
+        fleet.server(id).setFault(ServerFault::LosesAnswers);
+    configuration.set_revision(2);
+    configuration.mutable_services(0)->mutable_limits()->set_retry_percent(1);
+    fleet.configure(configuration);
+    // Until the change is in force everywhere and what was earned before has expired.
+    load(fleet, { 5000 }, { 20 }, turn);
+    const std::size_t before = fleet.arrivedAttempts().size();
+    load(fleet, { 10000 }, { 20 }, turn);
+    const double requests = 500;
+    const double repeats = static_cast<double>(fleet.arrivedAttempts().size() - before) - requests;
+    CHECK(repeats <= requests * 0.01 + 3);
+}
