--- a/Tests/Node/RetryBoundTest.cpp
+++ b/Tests/Node/RetryBoundTest.cpp
@@ -45,7 +45,7 @@
     fleet.clock().after(Restart, [&fleet, instance] { fleet.start(instance); });
 }
 
-void killAllAt(VirtualFleet& fleet, std::vector<double> times)
+void killAllAt(VirtualFleet& fleet, const std::vector<double>& times)
 {
     for (const double at : times) {
         fleet.clock().after({ at }, [&fleet] {
