Log how late pulls are answered and timers handled; count pulls and packings

changes_taken has since_pull, control_delayed tells how long the control thread's events wait, and three counters tell pulls from the work of answering them. These distinguish answers that are late from answers that are repeated. No decision changes.

--- a/Source/Membership/PullScheduler.cpp
+++ b/Source/Membership/PullScheduler.cpp
@@ -39,6 +39,7 @@
 {
     if (!this->wantedRevision || now < this->nextDue())
         return std::nullopt;
+    this->lastPull = now;
     this->pullTimeoutAt = now + this->options.timeout;
     return this->newestOrigin;
 }
--- a/Source/Membership/PullScheduler.h
+++ b/Source/Membership/PullScheduler.h
@@ -41,6 +41,8 @@
     /** The instance to pull from now, if a pull is due; the pull then counts as under way. */
     std::optional<peers::Member> next(Milliseconds now);
     Milliseconds nextDue() const;
+    /** When the last pull was sent; a long time ago if none was. */
+    Milliseconds lastPullAt() const { return this->lastPull; }
 
 private:
     Options options;
@@ -48,6 +50,7 @@
     std::uint64_t wantedRevision = 0; // the latest revision named; 0: nothing is missing
     Milliseconds nextPull = Never; // when the next pull is due
     Milliseconds pushExpectedUntil = LongAgo; // how long to wait for an announced push
+    Milliseconds lastPull = LongAgo;
     Milliseconds pullTimeoutAt = LongAgo; // timeout of the pull under way
 };
 
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -104,6 +104,9 @@
     "attempts_relayed",
     "relays_opened",
     "relays_refused",
+    "pulls_sent",
+    "pulls_answered",
+    "changes_packed",
 };
 
 static_assert(!RefusalNames.back().empty() && !RetryNames.back().empty() && !HoldNames.back().empty()
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -106,6 +106,9 @@
     AttemptsRelayed, // attempts sent through another instance
     RelaysOpened, // connections relayed for other instances
     RelaysRefused, // relays that other instances asked for and this one could not give
+    PullsSent, // missing changes of the store that this instance asked another one for
+    PullsAnswered, // the same, asked for by other instances
+    ChangesPacked, // lists of changes that were collected and compressed for other instances
     Count
 };
 
--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -119,6 +119,7 @@
         peers::PeerMessage answer;
         *answer.mutable_push() = this->dependencies.store->pushFor(message.pull());
         this->answer(message.from(), answer, actions);
+        this->dependencies.counters->add(DecisionCount::PullsAnswered);
         actions.emplace_back(pushRecord("changes_sent", message.from(), answer.push(), *this->dependencies.store));
         break;
     }
@@ -239,7 +240,8 @@
 {
     const peers::Push& push = message.push();
     this->relay(message, actions);
-    actions.emplace_back(pushRecord("changes_taken", message.from(), push, *this->dependencies.store));
+    actions.emplace_back(pushRecord("changes_taken", message.from(), push, *this->dependencies.store)
+                             .with("since_pull", (now - this->pulls.lastPullAt()).count));
     if (push.is_unasked())
         this->pulls.recordReceivedPush();
     else
@@ -333,6 +335,7 @@
     peers::PeerMessage message;
     message.mutable_pull()->set_store_revision(this->dependencies.store->view().revision());
     message.mutable_pull()->set_by_themselves(this->needsValuesWithoutBase);
+    this->dependencies.counters->add(DecisionCount::PullsSent);
     actions.emplace_back(
         knowledgeRecord("changes_asked", from->incarnation().name()).with("have", message.pull().store_revision()));
     this->send(addressOf(*from), std::move(message), actions);
--- a/Source/Node/StoreSynchronizer.cpp
+++ b/Source/Node/StoreSynchronizer.cpp
@@ -193,6 +193,7 @@
     const auto changes = this->storeView.changesSince(since);
     if (!changes)
         return this->fullPush();
+    this->counters->add(DecisionCount::ChangesPacked);
     push.set_base_revision(since);
     for (const StoreItem& item : *changes)
         this->packer.write(item, pull.by_themselves() ? 0 : since, *push.add_items());
@@ -204,6 +205,7 @@
 {
     if (this->fullPushCache.store_revision() == this->storeView.revision())
         return this->fullPushCache;
+    this->counters->add(DecisionCount::ChangesPacked);
     peers::Push push;
     push.set_store_revision(this->storeView.revision());
     for (const StoreItem& item : this->storeView.all())
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -34,6 +34,8 @@
  * target latency.
  */
 constexpr Milliseconds LongTurn{ 20 };
+/** A control timer that is handled this late is logged: messages of other instances wait as long. */
+constexpr Milliseconds LongDelay{ 500 };
 
 /** Increases with each start; a process id could repeat. */
 std::uint64_t newIncarnation()
@@ -123,6 +125,14 @@
     this->decisions.write(record.with("on", nameOf(event)).with("took", took.count));
 }
 
+void Instance::noteDelay(Milliseconds delay)
+{
+    if (delay < LongDelay)
+        return;
+    DecisionRecord record = knowledgeRecord("control_delayed", this->settings.instanceName);
+    this->decisions.write(record.with("late", delay.count));
+}
+
 void Instance::peerMessageReceived(peers::PeerMessage message)
 {
     this->post(PeerMessageArrived{ .message = std::move(message) });
@@ -299,9 +309,10 @@
         return;
     this->controlWakesAt = due;
     this->controlTimer.expires_after(toDuration(std::max(Milliseconds{}, due - this->clock.now())));
-    this->controlTimer.async_wait([this](const asio::error_code& error) {
+    this->controlTimer.async_wait([this, due](const asio::error_code& error) {
         if (error)
             return;
+        this->noteDelay(this->clock.now() - due);
         this->controlWakesAt = Never;
         this->post(ControlTimer{});
     });
--- a/Source/Program/Instance.h
+++ b/Source/Program/Instance.h
@@ -47,6 +47,8 @@
     void post(const Event& event) override;
     /** Records how long the node took to handle an event, and logs it when that was long. */
     void noteTurn(const Event& event, Milliseconds took);
+    /** Logs that the control thread handled a timer long after it was due. */
+    void noteDelay(Milliseconds delay);
     void peerMessageReceived(peers::PeerMessage message) override;
     v1::Configuration configurationInForce() const override;
     v1::ShowLoadAnswer showLoad(const std::string& service) const override;
