--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -107,6 +107,7 @@
     "pulls_sent",
     "pulls_answered",
     "changes_packed",
+    "credit_share_checks",
 };
 
 static_assert(!RefusalNames.back().empty() && !RetryNames.back().empty() && !HoldNames.back().empty()
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -109,6 +109,7 @@
     PullsSent, // missing changes of the store that this instance asked another one for
     PullsAnswered, // the same, asked for by other instances
     ChangesPacked, // lists of changes that were collected and compressed for other instances
+    CreditShareChecks, // searches of the known instances for lost holders of credit shares and for new ones
     Count
 };
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -78,6 +78,8 @@
     bool isWatching() const { return this->store.isWatching(); }
     std::size_t openRequests() const { return this->flow.openRequests(); }
     std::size_t instances(Milliseconds now) const { return this->gossip.instances(now); }
+    /** Number of other instances that sent a message to this one recently. */
+    std::size_t knownInstances() const { return this->gossip.knownInstances().size(); }
     const DecisionCounters& counters() const { return this->decisionCounters; }
     const ServiceTable& serviceTable() const { return this->services; }
     StoreRevision storeRevision() const { return this->store.view().revision(); }
--- a/Source/Node/QuotaManager.cpp
+++ b/Source/Node/QuotaManager.cpp
@@ -280,6 +280,7 @@
 std::optional<StoreRequest> QuotaManager::nextStoreCall(bool isStopping, Milliseconds now)
 {
     const GossipExchange& gossip = *this->dependencies.gossip;
+    const std::uint64_t checksBefore = this->creditShares.checks();
     auto call = this->creditShares.next({ .isNeeded = this->dependencies.services->hasLimitedCustomers() && !isStopping,
                                             .hasView = this->dependencies.store->view().revision() != 0,
                                             .instances = gossip.instances(now),
@@ -287,6 +288,7 @@
                                                 .fleetAtLeast = this->fleetAtLeast,
                                                 .members = gossip.knownInstances() } },
         now);
+    this->dependencies.counters->add(DecisionCount::CreditShareChecks, this->creditShares.checks() - checksBefore);
     const auto& leases = std::as_const(this->creditShares).leases();
     const bool hasChanged = !std::equal(leases.begin(), leases.end(), this->shareStates.begin(),
         [now](const CreditShareLease& lease, const ShareState& known) { return lease.state(now) == known.state; });
--- a/Source/Quotas/CreditShares.cpp
+++ b/Source/Quotas/CreditShares.cpp
@@ -123,6 +123,7 @@
 
 std::optional<StoreRequest> CreditShares::writeAssigned(const Inputs& inputs, Milliseconds now)
 {
+    this->checkCount += inputs.fleet.leads && inputs.fleet.fleetAtLeast ? 1 : 0;
     const auto assignments = this->assigner.assign(this->list, inputs.fleet, now);
     if (!inputs.isNeeded || now < this->writesPausedUntil)
         return std::nullopt;
--- a/Source/Quotas/CreditShares.h
+++ b/Source/Quotas/CreditShares.h
@@ -48,6 +48,8 @@
     /** True when the answer belonged to a call of this object. */
     bool answered(const StoreAnswer& answer, Milliseconds now);
     /** An item that this instance wrote and that takeWritten() has not returned yet. */
+    /** The number of searches of the known instances so far, for lost holders and for new ones. */
+    std::uint64_t checks() const { return this->checkCount; }
     std::optional<StoreItem> takeWritten();
     /** When next() must be called again even if no message arrives. */
     Milliseconds nextDue() const { return this->nextCheck; }
@@ -84,6 +86,7 @@
     StoreCallNumbers* numbers;
     Random* random;
     CreditShareAssigner assigner;
+    std::uint64_t checkCount = 0;
     std::vector<CreditShareLease> list; // CreditShareCount leases
     Backoff writeBackoff;
     Backoff confirmationBackoff;
