--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -196,6 +196,8 @@
     place.isFrozen = false;
     place.changedAt = this->time.now();
     place.held.clear();
+    place.waiting.clear();
+    place.isBusy = false;
     place.requestTimer = Never;
     place.controlTimer = Never;
     this->handle(instance, ControlTimer{});
@@ -211,6 +213,8 @@
 {
     Place& place = this->nodes[instance];
     place.node.reset();
+    place.waiting.clear();
+    place.isBusy = false;
     ++place.life;
     for (auto& [number, caller] : this->callerList) {
         if (caller.instance == instance && caller.outcome == CallerOutcome::Waiting)
@@ -351,16 +355,28 @@
 
 void VirtualFleet::handle(std::size_t instance, const Event& event)
 {
-    Place& place = this->nodes[instance];
-    const std::uint64_t life = place.life;
+    if (!this->options.processor)
+        return this->perform(instance, this->nodes[instance].life, this->decide(instance, event));
+    this->nodes[instance].waiting.push_back({ .event = event, .since = this->time.now() });
+    this->beginNextEvent(instance);
+}
+
+Actions VirtualFleet::decide(std::size_t instance, const Event& event)
+{
+    const Place& place = this->nodes[instance];
     if (const auto* noticed = std::get_if<ServerNoticed>(&event))
         this->noticeList.push_back({ .instance = instance,
-            .life = life,
+            .life = place.life,
             .backendServer = noticed->backendServer,
             .notice = noticed->notice,
             .at = this->time.now() });
     Actions actions;
     place.node->handle(event, this->time.now(), actions);
+    return actions;
+}
+
+void VirtualFleet::perform(std::size_t instance, std::uint64_t life, const Actions& actions)
+{
     for (const Action& action : actions) {
         std::visit(
             [&](const auto& item) {
@@ -371,10 +387,67 @@
             },
             action);
     }
-    if (place.node && place.life == life)
+    if (this->nodes[instance].node && this->nodes[instance].life == life)
         this->planTimers(instance);
 }
 
+void VirtualFleet::beginNextEvent(std::size_t instance)
+{
+    Place& place = this->nodes[instance];
+    if (place.isBusy || place.waiting.empty())
+        return;
+    place.isBusy = true;
+    const WaitingEvent next = std::move(place.waiting.front());
+    place.waiting.pop_front();
+    place.longestWait = std::max(place.longestWait, this->time.now() - next.since);
+    const DecisionCounters before = place.node->counters();
+    const Actions actions = this->decide(instance, next.event);
+    this->time.after(this->processorTime(instance, next.event, actions, before),
+        [this, instance, life = place.life, actions] {
+            if (this->nodes[instance].life != life)
+                return;
+            this->nodes[instance].isBusy = false;
+            this->perform(instance, life, actions);
+            this->beginNextEvent(instance);
+        });
+}
+
+Milliseconds VirtualFleet::processorTime(
+    std::size_t instance, const Event& event, const Actions& actions, const DecisionCounters& before) const
+{
+    constexpr double kilobyte = 1000;
+    constexpr double percent = 100;
+    const ProcessorCost& cost = *this->options.processor;
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    if (const auto* arrived = std::get_if<PeerMessageArrived>(&event))
+        bytes += arrived->message.ByteSizeLong();
+    if (const auto* answered = std::get_if<StoreAnswered>(&event))
+        bytes += bytesOf(answered->answer);
+    for (const Action& action : actions) {
+        if (const auto* sent = std::get_if<SendToPeer>(&action)) {
+            bytes += sent->message.ByteSizeLong();
+            ++messages;
+        }
+    }
+    const Node& node = *this->nodes[instance].node;
+    const auto counted = [&](DecisionCount kind) {
+        return static_cast<double>(node.counters().value(kind) - before.value(kind));
+    };
+    const double looks = counted(DecisionCount::CreditShareChecks) * static_cast<double>(node.knownInstances());
+    const Milliseconds whole = cost.event + cost.message * static_cast<double>(messages)
+        + cost.kilobyte * (static_cast<double>(bytes) / kilobyte) + cost.packing * counted(DecisionCount::ChangesPacked)
+        + cost.shareCheck * looks;
+    const std::uint32_t capacity = this->isStrong(instance) ? StrongCapacity : this->options.weakCapacity;
+    return whole * (percent / static_cast<double>(capacity));
+}
+
+void VirtualFleet::resetWaits()
+{
+    for (Place& place : this->nodes)
+        place.longestWait = {};
+}
+
 void VirtualFleet::planTimers(std::size_t instance)
 {
     Place& place = this->nodes[instance];
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -8,9 +8,11 @@
 #include "Tests/Virtual/VirtualTime.h"
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -75,6 +77,18 @@
     bool crashesServers = false;
 };
 
+/**
+ * The processor time that an instance spends, on a whole processor. An instance with a share of one takes accordingly
+ * longer, handles its events one after another, and its actions take effect when it is done.
+ */
+struct ProcessorCost {
+    Milliseconds event; // for each event, whatever it is
+    Milliseconds message; // for each message to another instance
+    Milliseconds kilobyte; // for each kilobyte of a message received or sent
+    Milliseconds packing; // for each list of changes that is collected and compressed
+    Milliseconds shareCheck; // for each instance looked at in a search for holders of credit shares
+};
+
 /**
  * Several instances in virtual time, with fake callers, backend servers, and store. They run the same Node class as
  * the daemon; scheduled tasks replace sockets and threads.
@@ -100,6 +114,8 @@
         /** Capacity of the instances that are not strong, in percent of a processor. 0: unknown to them. */
         std::uint32_t weakCapacity = 0;
         std::size_t strongInstances = 0; // the first instances, which have faster links and processors
+        /** Processor time of the events of every instance; nothing: events take no time. */
+        std::optional<ProcessorCost> processor;
     };
 
     /** Called before and after each event and action of an instance, so that tests can inject faults there. */
@@ -150,6 +166,9 @@
     const std::vector<ArrivedAttempt>& arrivedAttempts() const { return this->arrived; }
     const std::vector<HeardNotice>& heardNotices() const { return this->noticeList; }
     std::size_t peerMessages() const { return this->peerMessageCount; }
+    /** How long an event of this instance waited at most, since the last reset, until the instance could handle it. */
+    Milliseconds longestWait(std::size_t instance) const { return this->nodes.at(instance).longestWait; }
+    void resetWaits();
     std::size_t peerBytes() const { return this->peerByteCount; }
     std::size_t probes() const { return this->probeList.size(); }
     const std::vector<SentProbe>& sentProbes() const { return this->probeList; }
@@ -161,6 +180,12 @@
     void whenCallerEnds(CallerEnded next) { this->callerEnded = std::move(next); }
 
 private:
+    /** An event that waits until its instance has handled the earlier ones. */
+    struct WaitingEvent {
+        Event event;
+        Milliseconds since;
+    };
+
     /** The state of one instance, running or not. */
     struct Place {
         std::unique_ptr<Node> node;
@@ -174,6 +199,9 @@
         Milliseconds requestTimer = Never;
         Milliseconds controlTimer = Never;
         std::vector<Event> held; // events that arrived while the instance was suspended
+        std::deque<WaitingEvent> waiting; // only with processor time
+        bool isBusy = false; // an event is being handled
+        Milliseconds longestWait;
         Milliseconds sendsUntil = LongAgo; // the outgoing link is busy until then
         Milliseconds receivesUntil = LongAgo; // the incoming link is busy until then
     };
@@ -198,6 +226,14 @@
     std::string nameOf(std::size_t instance) const;
     void deliver(std::size_t instance, std::uint64_t life, const Event& event);
     void handle(std::size_t instance, const Event& event);
+    /** Lets the node decide about the event. */
+    Actions decide(std::size_t instance, const Event& event);
+    /** Executes the actions and sets the timers of this life of the instance, if it still runs. */
+    void perform(std::size_t instance, std::uint64_t life, const Actions& actions);
+    /** Begins the instance's next waiting event, if there is one; it ends when its processor time has passed. */
+    void beginNextEvent(std::size_t instance);
+    Milliseconds processorTime(std::size_t instance, const Event& event, const Actions& actions,
+        const DecisionCounters& before) const;
     void planTimers(std::size_t instance);
     void tell(std::size_t instance, std::string_view step) const;
 
