Keep a caller's session while its request is open, also when nothing is read

What callers saw: a caller that pipelined more than 64 KiB behind an open request had its connection reset without an answer, and the request went on at the backend server for nobody. Cause: reading stops at the read-ahead limit, and the pending read was the only owner of the session; the request held a weak pointer. Found by a test for callers that leave with unread bytes behind: the session was gone before the caller left. The request now owns its session until it is answered or its caller is gone, so the session lives as long as an answer may come.

--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -289,7 +289,7 @@
 void RequestForwarder::sendAnswer(RequestNumber number, HttpResponse response)
 {
     const auto found = this->requests.find(number);
-    const auto session = found->second.session.lock();
+    const auto session = found->second.session;
     const HttpRequestNumber answeredRequest = found->second.sessionRequest;
     const Milliseconds total = this->dependencies.clock->now() - found->second.arrivedAt;
     this->dependencies.metrics->added.add(total - std::min(total, found->second.atBackendServer));
@@ -299,8 +299,6 @@
     }
     this->requests.erase(found);
     this->dependencies.metrics->openRequests = this->requests.size();
-    if (!session)
-        return;
     this->removeFromSession(session->number(), number);
     session->answer(answeredRequest, std::move(response));
 }
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -88,7 +88,7 @@
 
     /** A request whose caller waits for an answer. */
     struct Request {
-        std::weak_ptr<HttpSession> session;
+        std::shared_ptr<HttpSession> session; // kept also while nothing is read from the caller
         HttpRequestNumber sessionRequest = 0; // its number within the session
         HttpRequest message;
         std::string requestId;
--- a/Tests/Traffic/RequestForwarderTest.cpp
+++ b/Tests/Traffic/RequestForwarderTest.cpp
@@ -352,6 +352,23 @@
     LONGS_EQUAL(0, this->desk->openRequests());
 }
 
+// Guards against a connection that is closed without an answer: while more was unread than is read ahead, nothing kept
+// the session, and its request went on for nobody.
+TEST(RequestForwarder, ACallerThatSendsMoreThanIsReadAheadGetsItsAnswer)
+{
+    constexpr std::size_t moreThanReadAhead = 3000; // requests of 27 bytes
+    this->configure();
+    asio::ip::tcp::socket caller = this->connect();
+    asio::write(caller, asio::buffer(this->requestsTo("X")));
+    this->runFor({ 30 });
+    asio::write(caller, asio::buffer(this->requestsTo(std::string(moreThanReadAhead, 'Y'))));
+    this->runFor({ 30 });
+    LONGS_EQUAL(1, this->desk->openRequests());
+    this->refuse(0);
+    this->runFor({ 30 });
+    CHECK(this->readFrom(caller).starts_with("HTTP/1.1 503"));
+}
+
 TEST(RequestForwarder, CountsASessionBeyondTheLimit)
 {
     this->configure();
