Begin and send no request whose caller has left

What callers saw: an instance that accepts or reads late sends requests to backend servers up to a second and more after their callers closed the connection; the work delays those who still wait (GONE). Cause: a request is begun as soon as it is read, and only the next read tells that the connection is closed. Change: before a request begins, one look at the socket tells whether its stream has ended, also behind unread bytes; a request that waited for 20 ms or more since then is looked at again before it is sent, so that waiting for a server, for credit or for a relay, a retry and a hedge are covered as well. A session from which nothing is read, because too much is unread, is looked at once a second. Cost: one system call for a request that does not wait.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -1,6 +1,9 @@
 #include "Http/HttpSession.h"
 
 #include <asio/write.hpp>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace burlreach {
@@ -68,6 +71,27 @@
     return this->socket.available(error) > 0 && !error;
 }
 
+bool HttpSession::hasCallerLeft()
+{
+    const auto handle = this->socket.native_handle();
+    char next = 0;
+    const auto size = recv(handle, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    if (size == 0)
+        return true;
+    if (size < 0)
+        return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    // The end of the stream lies behind unread bytes.
+    pollfd state{ .fd = handle, .events = POLLRDHUP, .revents = 0 };
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
+bool HttpSession::endIfCallerLeft()
+{
+    if (this->socket.is_open() && this->hasCallerLeft())
+        this->abandon();
+    return !this->socket.is_open();
+}
+
 void HttpSession::close()
 {
     asio::error_code ignored;
@@ -111,6 +135,9 @@
             break;
         if (!this->mayStart(this->completeRequest->message))
             break;
+        // The request may have waited to be accepted or read for longer than its caller waited for the answer.
+        if (this->endIfCallerLeft())
+            return;
         this->startRequest();
     }
     if (this->isClosing)
@@ -225,6 +252,9 @@
 
 void HttpSession::enforceTimeLimits(Milliseconds now)
 {
+    // While too much is unread nothing is read, so that the end of the connection is not seen.
+    if (!this->isReading && this->isUnfinished() && this->endIfCallerLeft())
+        return;
     if (!this->socket.is_open() || !this->answers.isEmpty())
         return;
     const bool isSlow = this->awaitsRequest() && !this->parser->is_header_done() && this->requestBeganAt != Never
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -92,8 +92,16 @@
     /** From now on, no request starts while another is unfinished; the last answer closes the connection. */
     void closeAfterAnswer() { this->closesAfterNewest = true; }
     void close();
-    /** Closes an idle connection, and refuses a request whose header is incomplete, once its time limit has passed. */
+    /**
+     * Ends an idle connection, one whose caller left, and refuses a request whose header is incomplete, once its time
+     * limit has passed.
+     */
     void enforceTimeLimits(Milliseconds now);
+    /**
+     * Ends the connection if the caller has closed it, or its sending side, which a read would tell only later. Returns
+     * true if the connection is closed. Costs one system call, or two while bytes are unread.
+     */
+    bool endIfCallerLeft();
 
     std::uint64_t number() const { return this->sessionNumber; }
     const std::string& caller() const { return this->callerAddress; }
@@ -111,6 +119,7 @@
 
     /** Returns true if bytes have arrived that were not read yet; closing the socket would reset the connection. */
     bool hasUnreadBytes() const;
+    bool hasCallerLeft();
     void resetParser();
     void read();
     void received(const asio::error_code& error, std::size_t size);
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -99,6 +99,7 @@
     request.message = std::move(message);
     request.requestId = fields.requestId;
     request.arrivedAt = now;
+    request.callerSeenAt = now;
     this->requestsBySession.emplace(session->number(), number);
     this->dependencies.metrics->openRequests = this->requests.size();
     if (fields.isValid)
@@ -151,6 +152,17 @@
         this->requestsBySession.erase(found);
 }
 
+bool RequestForwarder::endIfCallerLeft(Request& request) const
+{
+    const Milliseconds now = this->dependencies.clock->now();
+    if (now - request.callerSeenAt < this->options.callerCheckInterval)
+        return false;
+    request.callerSeenAt = now;
+    // A copy, since ending the session removes its requests.
+    const auto session = request.session;
+    return session->endIfCallerLeft();
+}
+
 HttpRequest RequestForwarder::makeForwardedRequest(const Request& request, const SendAttempt& action) const
 {
     HttpRequest message = request.message;
@@ -169,6 +181,8 @@
     if (found == this->requests.end())
         return;
     Request& request = found->second;
+    if (this->endIfCallerLeft(request))
+        return;
     HttpExchange::Options exchange;
     exchange.address = action.address;
     if (action.relay)
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -42,6 +42,8 @@
          * within 0.2 s more, and the last within 0.6 s.
          */
         Milliseconds maxWaitForConfiguration{ 850 };
+        /** A request that waited longer since its caller was last known to be there is sent only if it still is. */
+        Milliseconds callerCheckInterval{ 20 };
         /** Longest idle time of a kept connection on which a run-once request may be sent. */
         Milliseconds maxIdleForRunOnce{ 1000 };
     };
@@ -93,6 +95,7 @@
         HttpRequest message;
         std::string requestId;
         Milliseconds arrivedAt;
+        Milliseconds callerSeenAt; // when the caller was last known to wait
         Milliseconds atBackendServer; // duration of the attempt that ended last
         std::map<AttemptNumber, Attempt> attempts;
     };
@@ -107,6 +110,8 @@
     /** Called for the header of each answer to a request or probe sent at sentAt, even if the answer is unusable. */
     void answerHeaderReceived(
         const std::string& backendServer, std::uint64_t life, Milliseconds sentAt, const HttpResponse& header);
+    /** Ends the request and returns true if its caller left. Looks at most once in callerCheckInterval. */
+    bool endIfCallerLeft(Request& request) const;
     HttpRequest makeForwardedRequest(const Request& request, const SendAttempt& action) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
     AttemptEnd attemptEndOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
--- a/Tests/Traffic/RequestForwarderTest.cpp
+++ b/Tests/Traffic/RequestForwarderTest.cpp
@@ -352,6 +352,53 @@
     LONGS_EQUAL(0, this->desk->openRequests());
 }
 
+// Guards against requests that reach a server although their caller left while they waited to be sent: on a busy
+// instance the close is read long after it arrived.
+TEST(RequestForwarder, SendsNothingForACallerThatLeftWhileItsRequestWaited)
+{
+    struct Wait {
+        const char* name;
+        Milliseconds span;
+        bool leaves;
+        std::size_t connections; // to the server
+    };
+    const std::vector<Wait> table{
+        { "the caller left", { 100 }, true, 0 },
+        { "the caller still waits", { 100 }, false, 1 },
+        { "the caller still waits after no time", { 0 }, false, 1 },
+    };
+    this->configure();
+    for (const Wait& item : table) {
+        this->sink.arrived.clear();
+        this->sink.gone = 0;
+        asio::ip::tcp::acceptor server(this->context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        asio::ip::tcp::socket caller = this->connect();
+        asio::write(caller, asio::buffer(this->requestsTo("a")));
+        this->runFor({ 30 });
+        this->runFor(item.span);
+        LONGS_EQUAL_TEXT(1, this->sink.arrived.size(), item.name);
+        if (item.leaves)
+            caller.close();
+        this->desk->execute(SendAttempt{ .request = this->sink.arrived.front().request,
+            .attempt = 1,
+            .backendServer = "s1",
+            .address = { .host = "127.0.0.1", .port = server.local_endpoint().port() },
+            .timeLeft = { 1000 },
+            .mayRepeat = true });
+        this->runFor({ 30 });
+        server.non_blocking(true);
+        asio::error_code error;
+        std::size_t connections = 0;
+        for (server.accept(error); !error; server.accept(error))
+            ++connections;
+        LONGS_EQUAL_TEXT(item.connections, connections, item.name);
+        LONGS_EQUAL_TEXT(item.leaves ? 1 : 0, this->sink.gone, item.name);
+        caller.close();
+        this->runFor({ 30 });
+        LONGS_EQUAL_TEXT(0, this->desk->openRequests(), item.name);
+    }
+}
+
 // Guards against a connection that is closed without an answer: while more was unread than is read ahead, nothing kept
 // the session, and its request went on for nobody.
 TEST(RequestForwarder, ACallerThatSendsMoreThanIsReadAheadGetsItsAnswer)
@@ -369,6 +416,26 @@
     CHECK(this->readFrom(caller).starts_with("HTTP/1.1 503"));
 }
 
+// Guards against work that goes on for a caller that left with more unread bytes behind than are read ahead: nothing is
+// read then, so the close is not seen.
+TEST(RequestForwarder, DetectsALostConnectionBehindUnreadRequests)
+{
+    constexpr std::size_t moreThanReadAhead = 3000; // requests of 27 bytes
+    this->configure();
+    {
+        asio::ip::tcp::socket caller = this->connect();
+        asio::write(caller, asio::buffer(this->requestsTo("X")));
+        this->runFor({ 30 });
+        asio::write(caller, asio::buffer(this->requestsTo(std::string(moreThanReadAhead, 'Y'))));
+        this->runFor({ 30 });
+        LONGS_EQUAL(1, this->desk->openRequests());
+    }
+    this->runFor({ 30 });
+    this->desk->runMaintenance();
+    LONGS_EQUAL(1, this->sink.gone);
+    LONGS_EQUAL(0, this->desk->openRequests());
+}
+
 TEST(RequestForwarder, CountsASessionBeyondTheLimit)
 {
     this->configure();
