Find changes, removals and data centres without walking the whole directory

What callers saw: part of the lateness of changes in a large fleet (CONFIG): each message and pull costs more the more backend servers there are. Cause: the changes since a revision were collected by walking all items (10,000), for each pull and each update; each applied item was compared with up to 1,024 removals; each control timer counted the data centres by walking all records. Change: an index of the items by revision, the latest removal by key, and a count of servers by data centre.

--- a/Source/Node/ServiceTable.cpp
+++ b/Source/Node/ServiceTable.cpp
@@ -84,6 +84,9 @@
         return;
     this->lapsedUntil.erase(record.id);
     const BackendServerRecord before = std::exchange(known->second, record);
+    if (!isNew)
+        this->removeFromDataCentre(before.dataCentre);
+    ++this->serversByDataCentre[record.dataCentre];
     if (before.service != record.service) {
         if (const auto service = this->byName(before.service))
             service->pool.remove(record.id);
@@ -156,10 +159,18 @@
         return;
     if (const auto service = this->byName(known->second.service))
         service->pool.remove(id);
+    this->removeFromDataCentre(known->second.dataCentre);
     changes.push_back({ .kind = kind, .record = known->second });
     this->records.erase(known);
 }
 
+void ServiceTable::removeFromDataCentre(const std::string& dataCentre)
+{
+    const auto found = this->serversByDataCentre.find(dataCentre);
+    if (--found->second == 0)
+        this->serversByDataCentre.erase(found);
+}
+
 bool ServiceTable::keepAsLapsed(
     const std::string& id, Milliseconds until, Milliseconds now, std::vector<BackendServerChange>& changes)
 {
@@ -250,14 +261,6 @@
     return found == this->byNames.end() ? nullptr : found->second;
 }
 
-std::size_t ServiceTable::dataCentres() const
-{
-    std::set<std::string_view> names;
-    for (const auto& [id, record] : this->records)
-        names.insert(record.dataCentre);
-    return names.size();
-}
-
 std::vector<std::string> ServiceTable::backendServersIn(std::string_view dataCentre) const
 {
     std::vector<std::string> ids;
--- a/Source/Node/ServiceTable.h
+++ b/Source/Node/ServiceTable.h
@@ -67,7 +67,7 @@
     std::shared_ptr<BackendServerState> backendServer(std::string_view id) const;
     std::size_t backendServers() const { return this->records.size(); }
     /** Number of data centres that have backend servers. */
-    std::size_t dataCentres() const;
+    std::size_t dataCentres() const { return this->serversByDataCentre.size(); }
     /** Ids of the backend servers in the data centre. */
     std::vector<std::string> backendServersIn(std::string_view dataCentre) const;
     const std::set<std::string>& emptiedDataCentres() const { return this->emptiedCentres; }
@@ -84,6 +84,8 @@
     void addToPool(ServiceState& service, const BackendServerRecord& record, Milliseconds now) const;
     void applyOrder(const DataCentreOrder& order, Milliseconds now, std::vector<DataCentreOrder>& changes);
     void remove(const std::string& id, BackendServerChange::Kind kind, std::vector<BackendServerChange>& changes);
+    /** Counts one backend server less in the data centre. */
+    void removeFromDataCentre(const std::string& dataCentre);
     /** True when the removed record is kept as lapsed, because its lease may just have expired in a store outage. */
     bool keepAsLapsed(
         const std::string& id, Milliseconds until, Milliseconds now, std::vector<BackendServerChange>& changes);
@@ -97,6 +99,7 @@
     std::vector<std::shared_ptr<ServiceState>> services;
     std::unordered_map<std::string, std::shared_ptr<ServiceState>> byNames;
     std::map<std::string, BackendServerRecord, std::less<>> records;
+    std::map<std::string, std::size_t, std::less<>> serversByDataCentre; // number of records, never 0
     std::unordered_map<std::string, WeightedRoundRobin> turns; // weighted selection of a service, by route
     std::set<std::string> emptiedCentres; // names
     std::map<std::string, Milliseconds> lapsedUntil; // until when the removed record is kept, by id
--- a/Source/Store/StoreView.cpp
+++ b/Source/Store/StoreView.cpp
@@ -19,14 +19,15 @@
 
 bool StoreView::apply(const StoreItem& item)
 {
-    const auto removal = std::find_if(this->removals.begin(), this->removals.end(),
-        [&](const StoreItem& known) { return known.key == item.key && known.revision >= item.revision; });
-    if (removal != this->removals.end())
+    const auto removal = this->removedAt.find(item.key);
+    if (removal != this->removedAt.end() && removal->second >= item.revision)
         return false;
     const auto known = this->items.find(item.key);
     const bool isThere = known != this->items.end();
     if (isThere && known->second.revision >= item.revision)
         return false;
+    if (isThere)
+        this->byRevision.erase({ known->second.revision, known->first });
     if (item.removed) {
         this->rememberRemoval(item);
         if (isThere)
@@ -36,17 +37,26 @@
     if (isThere) {
         this->keepEarlier(std::move(known->second));
         known->second = item;
-    } else
-        this->items.emplace(item.key, item);
+        this->byRevision.emplace(item.revision, known->first);
+    } else {
+        const auto added = this->items.emplace(item.key, item).first;
+        this->byRevision.emplace(item.revision, added->first);
+    }
     return true;
 }
 
 void StoreView::rememberRemoval(const StoreItem& removal)
 {
     this->removals.push_back(removal);
+    StoreRevision& latest = this->removedAt[removal.key];
+    latest = std::max(latest, removal.revision);
     if (this->removals.size() <= MaximumRemovals)
         return;
-    this->changesKnownSince = std::max(this->changesKnownSince, this->removals.front().revision);
+    const StoreItem& oldest = this->removals.front();
+    this->changesKnownSince = std::max(this->changesKnownSince, oldest.revision);
+    const auto known = this->removedAt.find(oldest.key);
+    if (known != this->removedAt.end() && known->second == oldest.revision)
+        this->removedAt.erase(known);
     this->removals.pop_front();
 }
 
@@ -123,10 +133,9 @@
     if (revision < this->changesKnownSince || isInGap)
         return std::nullopt;
     std::vector<StoreItem> found;
-    for (const auto& [key, item] : this->items) {
-        if (item.revision > revision)
-            found.push_back(item);
-    }
+    const auto first = this->byRevision.lower_bound({ revision + 1, std::string_view() });
+    for (auto item = first; item != this->byRevision.end(); ++item)
+        found.push_back(this->items.find(item->second)->second);
     for (const StoreItem& removal : this->removals) {
         if (removal.revision > revision)
             found.push_back(removal);
--- a/Source/Store/StoreView.h
+++ b/Source/Store/StoreView.h
@@ -6,9 +6,12 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace burlreach {
@@ -26,6 +29,13 @@
  */
 class StoreView {
 public:
+    StoreView() = default;
+    ~StoreView() = default;
+    StoreView(const StoreView&) = delete; // the index refers to the keys, which a move does not change
+    StoreView& operator=(const StoreView&) = delete;
+    StoreView(StoreView&&) = default;
+    StoreView& operator=(StoreView&&) = default;
+
     /**
      * Applies changes that are complete from revision() to `through`; returns those that changed the view. With
      * `through` at or below revision(), the changes may be incomplete.
@@ -63,7 +73,10 @@
     void recordGap(StoreRevision through);
 
     std::map<std::string, StoreItem, std::less<>> items;
+    /** The items in the order of their revisions; the keys are those of `items`. */
+    std::set<std::pair<StoreRevision, std::string_view>> byRevision;
     std::deque<StoreItem> removals; // in order of arrival
+    std::unordered_map<std::string, StoreRevision> removedAt; // the highest revision of a key in `removals`
     std::map<std::string, std::deque<StoreItem>, std::less<>> earlier; // large values by key, the latest last
     StoreRevision changesKnownSince = 0; // earlier changes are not known one by one
     /**
--- a/Tests/Store/StoreViewTest.cpp
+++ b/Tests/Store/StoreViewTest.cpp
@@ -1,5 +1,6 @@
 #include "Store/StoreView.h"
 
+#include <string>
 #include <vector>
 
 // Redefines operator new: after all other headers.
@@ -125,3 +126,17 @@
     CHECK(follower.all() == this->view.all());
     LONGS_EQUAL(8, follower.revision());
 }
+
+// Removals are looked up by key: with many, each applied item was compared with each of them.
+TEST(StoreView, AnOldValueDoesNotReturnAfterItsRemoval)
+{
+    constexpr StoreRevision moreThanKept = 2000;
+    this->view.applyChanges(std::vector{ put("a", "x", 3), removal("a", 4) }, 4);
+    LONGS_EQUAL(0, this->view.applyChanges(std::vector{ put("a", "x", 3) }, 4).size());
+    LONGS_EQUAL(1, this->view.applyChanges(std::vector{ put("a", "y", 5) }, 5).size());
+    for (StoreRevision revision = 6; revision < moreThanKept; ++revision)
+        this->view.applyChanges(std::vector{ removal(("b" + std::to_string(revision)).c_str(), revision) }, revision);
+    LONGS_EQUAL(1, this->view.applyChanges(std::vector{ removal("a", moreThanKept) }, moreThanKept).size());
+    LONGS_EQUAL(0, this->view.applyChanges(std::vector{ put("a", "y", 5) }, moreThanKept).size());
+    LONGS_EQUAL(0, this->view.size());
+}
