Do not pull changes that are on their way or already here

Cause: a large change follows its update in a push. The next update is small and overtakes that push. When the push came, the wait for an announced push was over, although the next one had been announced too, and the instance pulled at once. In the same way an update that overtook a push was applied, but counted as incomplete also after the push had come, and what it had brought was pulled again. Change: the wait holds for each announced push, 900 ms from its own announcement; a push that comes after a gap still leads to a pull at once. Changes that were applied before earlier ones count as complete once the earlier ones are there. Evidence: WaitsForEachAnnouncedPush and ChangesAppliedAheadCountOnceTheEarlierOnesAreThere fail on the logic before (they use functions that it lacks; by reading). WaitsOnceForAnAnnouncedPush and PullsAtOnceAfterAPushThatDidNotBringTheRevision keep their checks and name the revisions.

--- a/Source/Membership/PullScheduler.cpp
+++ b/Source/Membership/PullScheduler.cpp
@@ -19,11 +19,16 @@
     this->nextPull = std::min(this->nextPull, due);
 }
 
-void PullScheduler::recordAnnouncedPush(Milliseconds now)
+void PullScheduler::recordAnnouncedPush(std::uint64_t revision, Milliseconds now)
 {
-    // A further announcement does not extend the wait that the first one began.
-    if (now >= this->pushExpectedUntil)
-        this->pushExpectedUntil = now + this->options.pushTimeout;
+    this->expectedPushes.push_back({ .revision = revision, .until = now + this->options.pushTimeout });
+}
+
+void PullScheduler::recordReceivedPush(std::uint64_t revision, std::uint64_t reached)
+{
+    if (reached < revision)
+        return this->expectedPushes.clear();
+    std::erase_if(this->expectedPushes, [revision](const ExpectedPush& push) { return push.revision <= revision; });
 }
 
 void PullScheduler::recordReachedRevision(std::uint64_t revision)
@@ -32,13 +37,14 @@
         return;
     this->wantedRevision = 0;
     this->nextPull = Never;
-    this->pushExpectedUntil = LongAgo;
+    this->expectedPushes.clear();
 }
 
 std::optional<peers::Member> PullScheduler::next(Milliseconds now)
 {
     if (!this->wantedRevision || now < this->nextDue())
         return std::nullopt;
+    std::erase_if(this->expectedPushes, [now](const ExpectedPush& push) { return push.until <= now; });
     this->lastPull = now;
     this->pullTimeoutAt = now + this->options.timeout;
     return this->newestOrigin;
@@ -46,7 +52,10 @@
 
 Milliseconds PullScheduler::nextDue() const
 {
-    return this->wantedRevision ? std::max({ this->nextPull, this->pullTimeoutAt, this->pushExpectedUntil }) : Never;
+    if (!this->wantedRevision)
+        return Never;
+    const Milliseconds pushUntil = this->expectedPushes.empty() ? LongAgo : this->expectedPushes.front().until;
+    return std::max({ this->nextPull, this->pullTimeoutAt, pushUntil });
 }
 
 }
--- a/Source/Membership/PullScheduler.h
+++ b/Source/Membership/PullScheduler.h
@@ -4,6 +4,7 @@
 #include "peers.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace burlreach {
@@ -13,8 +14,8 @@
  * but did not bring all changes up to it.
  *
  * At most one pull is under way: a second one before the answer would make a busy instance send everything again. After
- * an update without changes the pull is delayed, since the update of the leading watcher usually brings them. After an
- * announced push the pull waits for it.
+ * an update without changes the pull is delayed, since the update of the leading watcher usually brings them. After
+ * announced pushes the pull waits for each of them: an update may overtake the push that an earlier one announced.
  */
 class PullScheduler {
 public:
@@ -30,10 +31,13 @@
 
     /** An update of this origin named a later revision than this instance has, and could not be applied. */
     void recordMissingChanges(const peers::Member& origin, std::uint64_t revision, bool heldChanges, Milliseconds now);
-    /** An update announced a push with the missing changes. */
-    void recordAnnouncedPush(Milliseconds now);
-    /** The announced push was received, whatever its content. */
-    void recordReceivedPush() { this->pushExpectedUntil = LongAgo; }
+    /** An update announced a push with the changes up to this revision. */
+    void recordAnnouncedPush(std::uint64_t revision, Milliseconds now);
+    /**
+     * A push with changes up to this revision was received; this instance now has all changes up to `reached`. If that
+     * is less, changes before the push are missing too, and no later push can bring them.
+     */
+    void recordReceivedPush(std::uint64_t revision, std::uint64_t reached);
     /** This instance now has all changes up to this revision. */
     void recordReachedRevision(std::uint64_t revision);
     /** An answer to a pull was received, whatever its content. */
@@ -45,11 +49,17 @@
     Milliseconds lastPullAt() const { return this->lastPull; }
 
 private:
+    /** An announced push that has not been received. */
+    struct ExpectedPush {
+        std::uint64_t revision = 0;
+        Milliseconds until; // how long to wait for it
+    };
+
     Options options;
     peers::Member newestOrigin; // the origin of the update that named the latest revision
+    std::deque<ExpectedPush> expectedPushes; // in the order of their announcements
     std::uint64_t wantedRevision = 0; // the latest revision named; 0: nothing is missing
     Milliseconds nextPull = Never; // when the next pull is due
-    Milliseconds pushExpectedUntil = LongAgo; // how long to wait for an announced push
     Milliseconds lastPull = LongAgo;
     Milliseconds pullTimeoutAt = LongAgo; // timeout of the pull under way
 };
--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -242,13 +242,14 @@
     this->relay(message, actions);
     actions.emplace_back(pushRecord("changes_taken", message.from(), push, *this->dependencies.store)
                              .with("since_pull", (now - this->pulls.lastPullAt()).count));
-    if (push.is_unasked())
-        this->pulls.recordReceivedPush();
-    else
+    if (!push.is_unasked())
         this->pulls.recordAnswer();
     // A value was packed against a base that this instance does not hold: request it without a base.
     this->needsValuesWithoutBase = !this->dependencies.store->applyPush(push, now, actions);
-    this->pulls.recordReachedRevision(this->dependencies.store->view().revision());
+    const StoreRevision reached = this->dependencies.store->view().revision();
+    if (push.is_unasked())
+        this->pulls.recordReceivedPush(push.store_revision(), reached);
+    this->pulls.recordReachedRevision(reached);
     this->pull(now, actions);
     this->announceFirstView(now, actions);
 }
@@ -279,7 +280,7 @@
     if (news.base_revision())
         actions.emplace_back(incompleteNewsRecord(news, *this->dependencies.store, now));
     if (news.large_changes_follow())
-        this->pulls.recordAnnouncedPush(now);
+        this->pulls.recordAnnouncedPush(news.store_revision(), now);
     this->pulls.recordMissingChanges(news.origin(), news.store_revision(), news.base_revision() != 0, now);
     this->pull(now, actions);
 }
--- a/Source/Node/StoreSynchronizer.cpp
+++ b/Source/Node/StoreSynchronizer.cpp
@@ -116,14 +116,15 @@
 bool StoreSynchronizer::applyUpdate(const peers::News& news, Milliseconds now, Actions& actions)
 {
     if (news.store_revision() > this->storeView.revision()) {
-        const bool isGapless = news.base_revision() && news.base_revision() <= this->storeView.revision();
-        bool isComplete = isGapless && !news.large_changes_follow();
-        const std::vector<StoreItem> items = this->decodeItems(news.changes(), isComplete, actions);
+        bool areAllRead = news.base_revision() && !news.large_changes_follow();
+        const std::vector<StoreItem> items = this->decodeItems(news.changes(), areAllRead, actions);
         // Changes are applied even when earlier ones are missing, so that a server's leaving takes effect without
         // waiting for a large document.
-        const StoreRevision through = isComplete ? news.store_revision() : this->storeView.revision();
-        this->notifyListener(this->storeView.applyChanges(items, through), ChangeSource::News, now, actions);
-        if (!isComplete)
+        this->notifyListener(
+            this->storeView.applyChanges(items, this->storeView.revision()), ChangeSource::News, now, actions);
+        if (areAllRead)
+            this->storeView.recordAppliedAhead(news.base_revision(), news.store_revision());
+        if (news.store_revision() > this->storeView.revision())
             return false;
     }
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
@@ -172,14 +173,14 @@
     }
     const auto& messages = push.packed_items().empty() ? push.items() : unpacked.items();
     const std::vector<StoreItem> items = this->decodeItems(messages, areAllRead, actions);
-    const bool isGapless = push.base_revision() <= this->storeView.revision();
     const bool isEverything = !push.base_revision() && areAllRead;
-    const StoreRevision through = isGapless && areAllRead ? push.store_revision() : this->storeView.revision();
     if (isEverything)
         this->lastFullReadAt = now;
-    this->notifyListener(
-        isEverything ? this->storeView.replaceAll(items, through) : this->storeView.applyChanges(items, through),
+    this->notifyListener(isEverything ? this->storeView.replaceAll(items, push.store_revision())
+                                      : this->storeView.applyChanges(items, this->storeView.revision()),
         ChangeSource::Push, now, actions);
+    if (areAllRead && !isEverything)
+        this->storeView.recordAppliedAhead(push.base_revision(), push.store_revision());
     return areAllRead;
 }
 
--- a/Source/Store/StoreView.cpp
+++ b/Source/Store/StoreView.cpp
@@ -14,6 +14,8 @@
  * the third is for those that missed an update.
  */
 constexpr std::size_t EarlierValuesKept = 3;
+/** Ranges of changes that were applied ahead; more come only when an earlier change is lost, which is then pulled. */
+constexpr std::size_t MaximumRangesAhead = 64;
 
 }
 
@@ -97,9 +99,33 @@
             applied.push_back(change);
     }
     this->completeThrough = std::max(this->completeThrough, through);
+    this->joinAppliedAhead();
     return applied;
 }
 
+void StoreView::recordAppliedAhead(StoreRevision base, StoreRevision through)
+{
+    this->appliedAhead.emplace_back(base, through);
+    if (this->appliedAhead.size() > MaximumRangesAhead)
+        this->appliedAhead.pop_front();
+    this->joinAppliedAhead();
+}
+
+void StoreView::joinAppliedAhead()
+{
+    bool isExtended = true;
+    while (isExtended) {
+        isExtended = false;
+        for (const auto& [base, through] : this->appliedAhead) {
+            if (base > this->completeThrough || through <= this->completeThrough)
+                continue;
+            this->completeThrough = through;
+            isExtended = true;
+        }
+    }
+    std::erase_if(this->appliedAhead, [this](const auto& range) { return range.second <= this->completeThrough; });
+}
+
 std::vector<StoreItem> StoreView::replaceAll(std::span<const StoreItem> all, StoreRevision at)
 {
     std::vector<std::string_view> present;
--- a/Source/Store/StoreView.h
+++ b/Source/Store/StoreView.h
@@ -42,6 +42,12 @@
      */
     std::vector<StoreItem> applyChanges(std::span<const StoreItem> changes, StoreRevision through);
 
+    /**
+     * Records that all changes after `base` up to `through` were applied, while earlier ones were missing. The view is
+     * complete up to `through` once it is complete up to `base`.
+     */
+    void recordAppliedAhead(StoreRevision base, StoreRevision through);
+
     /**
      * Applies a complete reading of all items; returns the changes to the view. Keys that are missing from it and were
      * last changed at or before the revision are removed.
@@ -69,6 +75,8 @@
     void rememberRemoval(const StoreItem& removal);
     /** Keeps a value that is about to be replaced, if it is large. */
     void keepEarlier(StoreItem item);
+    /** Extends the revision up to which the view is complete by the changes that were applied ahead. */
+    void joinAppliedAhead();
     /** Records that a reading skips to this revision: keys that were added and removed on the way are unknown. */
     void recordGap(StoreRevision through);
 
@@ -86,6 +94,8 @@
     StoreRevision gapAfter = 0;
     StoreRevision gapThrough = 0;
     StoreRevision completeThrough = 0;
+    /** Changes after the first revision up to the second, all applied, that were received before earlier ones. */
+    std::deque<std::pair<StoreRevision, StoreRevision>> appliedAhead;
 };
 
 }
--- a/Tests/Membership/PullSchedulerTest.cpp
+++ b/Tests/Membership/PullSchedulerTest.cpp
@@ -70,8 +70,9 @@
     PullScheduler plan({});
     // More updates announce pushes while the first push is under way.
     for (double at = 100; at < 1000; at += 100) {
-        plan.recordAnnouncedPush({ at });
-        plan.recordMissingChanges(origin("a"), 20, true, { at });
+        const auto revision = static_cast<std::uint64_t>(at);
+        plan.recordAnnouncedPush(revision, { at });
+        plan.recordMissingChanges(origin("a"), revision, true, { at });
         CHECK_FALSE(plan.next({ at }).has_value());
     }
     LONGS_EQUAL(1000, static_cast<long>(plan.nextDue().count));
@@ -81,8 +82,37 @@
 TEST(PullScheduler, PullsAtOnceAfterAPushThatDidNotBringTheRevision)
 {
     PullScheduler plan({});
-    plan.recordAnnouncedPush({ 100 });
+    plan.recordAnnouncedPush(20, { 100 });
     plan.recordMissingChanges(origin("a"), 20, true, { 100 });
-    plan.recordReceivedPush();
+    plan.recordReceivedPush(20, 10);
     CHECK(plan.next({ 110 }).has_value());
 }
+
+// Guards against pulls of a whole fleet for changes that are on their way: while the directory grows, each update
+// announces a push and overtakes the one before, and every push that came made its receiver ask for the next.
+TEST(PullScheduler, WaitsForEachAnnouncedPush)
+{
+    PullScheduler plan({});
+    plan.recordAnnouncedPush(20, { 100 });
+    plan.recordMissingChanges(origin("a"), 20, true, { 100 });
+    plan.recordAnnouncedPush(21, { 250 });
+    plan.recordMissingChanges(origin("a"), 21, true, { 250 });
+    plan.recordReceivedPush(20, 20);
+    plan.recordReachedRevision(20);
+    CHECK_FALSE(plan.next({ 300 }).has_value());
+    LONGS_EQUAL_TEXT(1150, static_cast<long>(plan.nextDue().count), "900 ms after the second was announced");
+    plan.recordReceivedPush(21, 21);
+    plan.recordReachedRevision(21);
+    CHECK(plan.nextDue() == Never);
+}
+
+TEST(PullScheduler, PullsAtOnceWhenChangesBeforeAPushAreMissing)
+{
+    PullScheduler plan({});
+    plan.recordAnnouncedPush(20, { 100 });
+    plan.recordMissingChanges(origin("a"), 20, true, { 100 });
+    plan.recordAnnouncedPush(21, { 250 });
+    plan.recordMissingChanges(origin("a"), 21, true, { 250 });
+    plan.recordReceivedPush(20, 18);
+    CHECK(plan.next({ 260 }).has_value());
+}
--- a/Tests/Store/StoreViewTest.cpp
+++ b/Tests/Store/StoreViewTest.cpp
@@ -127,6 +127,37 @@
     LONGS_EQUAL(8, follower.revision());
 }
 
+// Guards against pulls of changes that are all here: a small update overtakes the large push before it, and was
+// taken for incomplete also after that push had come.
+TEST(StoreView, ChangesAppliedAheadCountOnceTheEarlierOnesAreThere)
+{
+    struct Range {
+        StoreRevision base;
+        StoreRevision through;
+    };
+    struct Arrivals {
+        const char* name;
+        std::vector<Range> ranges; // in the order in which they arrive, at a view that is complete up to 5
+        StoreRevision reached;
+    };
+    const std::vector<Arrivals> table{
+        { "in order", { { 5, 7 }, { 7, 9 } }, 9 },
+        { "one overtakes another", { { 7, 9 }, { 5, 7 } }, 9 },
+        { "two overtake a third", { { 9, 12 }, { 7, 9 }, { 5, 7 } }, 12 },
+        { "a gap remains", { { 7, 9 }, { 5, 6 } }, 6 },
+        { "overlapping ones", { { 6, 9 }, { 3, 7 }, { 8, 11 } }, 11 },
+        { "nothing new", { { 2, 4 }, { 3, 5 } }, 5 },
+        { "one far ahead", { { 20, 30 }, { 5, 7 } }, 7 },
+    };
+    for (const Arrivals& item : table) {
+        StoreView view;
+        view.replaceAll(std::vector{ put("a", "x", 3) }, 5);
+        for (const Range& range : item.ranges)
+            view.recordAppliedAhead(range.base, range.through);
+        LONGS_EQUAL_TEXT(item.reached, view.revision(), item.name);
+    }
+}
+
 // Removals are looked up by key: with many, each applied item was compared with each of them.
 TEST(StoreView, AnOldValueDoesNotReturnAfterItsRemoval)
 {
