Answer the pulls of many instances together, over a tree

What callers saw: changes that reach a large fleet late (CONFIG). One weak instance was asked 863 times in five seconds, answered one after another for up to 13 s, five times to the same instance and long after most had the changes from elsewhere; the update with the new route waited behind the answers. Cause: each pull was answered alone and packed anew, 15 to 48 ms on a tenth of a processor, in the order of arrival, whether or not it was still awaited. Change: PullCollector. The first pull is answered at once; those that follow within 100 ms are collected, a later one of an instance replaces its earlier one, those that are no longer awaited (1 s) are dropped, and instances that miss about the same (within a factor of two) are sent one packed answer over the tree that updates take. So the work of an answer does not grow with the number of instances that ask.

--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -68,6 +68,7 @@
     , contacts({ .own = addressOf(this->options.self) })
     , watcherSelection(this->options.watcherSelection)
     , pulls(this->options.pulls)
+    , pullAnswers(this->options.pullAnswers)
 {
     this->setSeeds(this->options.seeds);
 }
@@ -115,14 +116,9 @@
         this->dependencies.signs->receive(message.news().leaving_signs(), now);
         this->dependencies.limits->receive(message.news().limits(), true, now, actions);
         break;
-    case peers::PeerMessage::kPull: {
-        peers::PeerMessage answer;
-        *answer.mutable_push() = this->dependencies.store->pushFor(message.pull());
-        this->answer(message.from(), answer, actions);
-        this->dependencies.counters->add(DecisionCount::PullsAnswered);
-        actions.emplace_back(pushRecord("changes_sent", message.from(), answer.push(), *this->dependencies.store));
+    case peers::PeerMessage::kPull:
+        this->handlePull(message, now, actions);
         break;
-    }
     case peers::PeerMessage::kPush:
         this->handlePush(message, now, actions);
         break;
@@ -202,6 +198,32 @@
     this->members.recordSentThrough(this->dependencies.store->view().revision());
 }
 
+void GossipExchange::handlePull(const peers::PeerMessage& message, Milliseconds now, Actions& actions)
+{
+    // Its hello, which gives its address, precedes the pull on the same connection.
+    const KnownMember* asker = this->members.byName(message.from().name());
+    if (!asker)
+        return;
+    this->pullAnswers.add(*asker, message.pull(), now);
+    this->answerPulls(now, actions);
+}
+
+void GossipExchange::answerPulls(Milliseconds now, Actions& actions)
+{
+    for (const PullGroup& group : this->pullAnswers.takeDue(this->dependencies.store->view().revision(), now)) {
+        peers::Pull pull;
+        pull.set_store_revision(group.since);
+        pull.set_by_themselves(group.byThemselves);
+        peers::PeerMessage answer;
+        *answer.mutable_push() = this->dependencies.store->pushFor(pull);
+        this->dependencies.counters->add(DecisionCount::PullsAnswered, group.askers.size());
+        actions.emplace_back(pushRecord("changes_sent", group.askers.front().member.incarnation(), answer.push(),
+            *this->dependencies.store)
+                                 .with("instances", std::uint64_t{ group.askers.size() }));
+        this->sendToBranches(rootBranches(group.askers, this->options.tree, now), std::move(answer), actions);
+    }
+}
+
 void GossipExchange::handleWatchers(const peers::Watchers& message, Milliseconds now, Actions& actions)
 {
     const bool wasSearching = this->watcherSelection.watchers(now).empty();
@@ -506,6 +528,7 @@
     if (now >= this->sendViewAt)
         this->sendViewToNewInstances(now, actions);
     this->pull(now, actions);
+    this->answerPulls(now, actions);
     const auto isOver = [now](const InForceCall& call) { return now >= call.deadline; };
     if (std::any_of(this->inForceCalls.begin(), this->inForceCalls.end(), isOver))
         this->answerInForce(this->knownMembers(now), now, actions);
@@ -513,7 +536,7 @@
 
 Milliseconds GossipExchange::nextDue() const
 {
-    Milliseconds due = std::min({ this->nextHello, this->sendViewAt, this->pulls.nextDue() });
+    Milliseconds due = std::min({ this->nextHello, this->sendViewAt, this->pulls.nextDue(), this->pullAnswers.nextDue() });
     if (this->dependencies.store->isWatching())
         due = std::min({ due, this->nextSeeds, this->nextKeepAlive() });
     for (const InForceCall& call : this->inForceCalls)
--- a/Source/Node/GossipExchange.h
+++ b/Source/Node/GossipExchange.h
@@ -4,6 +4,7 @@
 #include "Membership/ContactRegistry.h"
 #include "Membership/GossipTree.h"
 #include "Membership/MemberTable.h"
+#include "Membership/PullCollector.h"
 #include "Membership/PullScheduler.h"
 #include "Membership/WatcherSelection.h"
 #include "Metrics/DecisionCounters.h"
@@ -38,8 +39,9 @@
  *   revision; only the leading watcher's carry the changes, so that they are
  *   sent once.
  * - Large changes follow the update in a push message over the same tree.
- * - An instance that still misses changes pulls them from the sender of the
- *   newest update.
+ * - An instance that still misses changes pulls them from the origin of an
+ *   update that named them. The answers to many pulls are collected and sent over
+ *   one tree as well.
  * - Instances that have no data yet are sent the whole view, collected for a
  *   short interval and over one tree.
  */
@@ -66,6 +68,7 @@
         WatcherSelection::Options watcherSelection;
         GossipTreeOptions tree;
         PullScheduler::Options pulls;
+        PullCollector::Options pullAnswers;
     };
 
     struct Dependencies {
@@ -137,6 +140,9 @@
     };
 
     void send(const NetworkAddress& address, peers::PeerMessage message, Actions& actions) const;
+    void handlePull(const peers::PeerMessage& message, Milliseconds now, Actions& actions);
+    /** Sends the changes to the instances that asked for them, if an answer is due. */
+    void answerPulls(Milliseconds now, Actions& actions);
     /** Replies to an instance whose address is known from an earlier hello; otherwise does nothing. */
     void answer(const peers::Incarnation& asker, const peers::PeerMessage& message, Actions& actions) const;
     void handleHello(const peers::Hello& hello, Milliseconds now, Actions& actions);
@@ -179,6 +185,7 @@
     ContactRegistry contacts;
     WatcherSelection watcherSelection;
     PullScheduler pulls;
+    PullCollector pullAnswers;
     std::map<std::string, LastNews> lastNews; // by origin
     std::uint64_t newsNumber = 0;
     StoreRevision broadcastRevision = 0; // of the last update; all receivers but new ones have at least this
