Pull from the strongest instance that has the changes

Cause: the origin of the latest update was asked, whoever it was; an instance that watches the store for a moment because it is late itself names the latest revision. Change: of the origins that named missing changes, the one with the fewest unanswered pulls, then the one with the most capacity. An origin that does not answer within a second is followed by the next. Evidence: PullsFromTheStrongestOriginThatHasMissingChanges fails on the logic before (by reading: it asks the latest).

--- a/Source/Membership/PullScheduler.cpp
+++ b/Source/Membership/PullScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Membership/PullScheduler.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace burlreach {
 
@@ -12,8 +13,14 @@
 void PullScheduler::recordMissingChanges(
     const peers::Member& origin, std::uint64_t revision, bool heldChanges, Milliseconds now)
 {
-    if (revision >= this->wantedRevision)
-        this->newestOrigin = origin;
+    const auto known = std::find_if(this->sources.begin(), this->sources.end(),
+        [&](const Source& source) { return source.member.incarnation().name() == origin.incarnation().name(); });
+    if (known == this->sources.end())
+        this->sources.push_back({ .member = origin, .revision = revision });
+    else {
+        known->member = origin;
+        known->revision = std::max(known->revision, revision);
+    }
     this->wantedRevision = std::max(this->wantedRevision, revision);
     const Milliseconds due = heldChanges ? now : now + this->options.updateDelay;
     this->nextPull = std::min(this->nextPull, due);
@@ -33,6 +40,7 @@
 
 void PullScheduler::recordReachedRevision(std::uint64_t revision)
 {
+    std::erase_if(this->sources, [revision](const Source& source) { return source.revision <= revision; });
     if (revision < this->wantedRevision)
         return;
     this->wantedRevision = 0;
@@ -40,6 +48,13 @@
     this->expectedPushes.clear();
 }
 
+void PullScheduler::recordAnswer()
+{
+    this->pullTimeoutAt = LongAgo;
+    for (Source& source : this->sources)
+        source.unanswered = 0;
+}
+
 std::optional<peers::Member> PullScheduler::next(Milliseconds now)
 {
     if (!this->wantedRevision || now < this->nextDue())
@@ -47,7 +62,13 @@
     std::erase_if(this->expectedPushes, [now](const ExpectedPush& push) { return push.until <= now; });
     this->lastPull = now;
     this->pullTimeoutAt = now + this->options.timeout;
-    return this->newestOrigin;
+    const auto rank = [](const Source& source) {
+        return std::tuple(source.unanswered, ~source.member.capacity(), ~source.revision);
+    };
+    const auto chosen = std::min_element(this->sources.begin(), this->sources.end(),
+        [&](const Source& left, const Source& right) { return rank(left) < rank(right); });
+    ++chosen->unanswered;
+    return chosen->member;
 }
 
 Milliseconds PullScheduler::nextDue() const
--- a/Source/Membership/PullScheduler.h
+++ b/Source/Membership/PullScheduler.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <vector>
 
 namespace burlreach {
 
@@ -13,6 +14,9 @@
  * Decides when to pull changes from another instance, whose gossip update named a later revision than this instance has
  * but did not bring all changes up to it.
  *
+ * The instance asked is one whose update named missing changes: one with the fewest unanswered pulls, of those the one
+ * with the most processor capacity, since a weak one needs long to answer many.
+ *
  * At most one pull is under way: a second one before the answer would make a busy instance send everything again. After
  * an update without changes the pull is delayed, since the update of the leading watcher usually brings them. After
  * announced pushes the pull waits for each of them: an update may overtake the push that an earlier one announced.
@@ -41,7 +45,7 @@
     /** This instance now has all changes up to this revision. */
     void recordReachedRevision(std::uint64_t revision);
     /** An answer to a pull was received, whatever its content. */
-    void recordAnswer() { this->pullTimeoutAt = LongAgo; }
+    void recordAnswer();
     /** The instance to pull from now, if a pull is due; the pull then counts as under way. */
     std::optional<peers::Member> next(Milliseconds now);
     Milliseconds nextDue() const;
@@ -49,6 +53,13 @@
     Milliseconds lastPullAt() const { return this->lastPull; }
 
 private:
+    /** An instance that has changes which this one misses. */
+    struct Source {
+        peers::Member member;
+        std::uint64_t revision = 0; // that its latest update named
+        unsigned unanswered = 0; // pulls sent to it since the last answer to any pull
+    };
+
     /** An announced push that has not been received. */
     struct ExpectedPush {
         std::uint64_t revision = 0;
@@ -56,7 +67,7 @@
     };
 
     Options options;
-    peers::Member newestOrigin; // the origin of the update that named the latest revision
+    std::vector<Source> sources;
     std::deque<ExpectedPush> expectedPushes; // in the order of their announcements
     std::uint64_t wantedRevision = 0; // the latest revision named; 0: nothing is missing
     Milliseconds nextPull = Never; // when the next pull is due
--- a/Tests/Membership/PullSchedulerTest.cpp
+++ b/Tests/Membership/PullSchedulerTest.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-peers::Member origin(const std::string& name)
+peers::Member origin(const std::string& name, std::uint32_t capacity = 0)
 {
     peers::Member made;
     made.mutable_incarnation()->set_name(name);
+    made.set_capacity(capacity);
     return made;
 }
 
@@ -45,6 +46,21 @@
     STRCMP_EQUAL("b", plan.next({ 0 })->incarnation().name().c_str());
 }
 
+// Guards against a fleet that asks one weak instance: it happened to have sent the latest update, and needed 13 s to
+// answer all.
+TEST(PullScheduler, PullsFromTheStrongestOriginThatHasMissingChanges)
+{
+    PullScheduler plan({});
+    plan.recordMissingChanges(origin("strong", 50), 20, true, { 0 });
+    plan.recordMissingChanges(origin("weak", 10), 21, true, { 0 });
+    STRCMP_EQUAL("strong", plan.next({ 0 })->incarnation().name().c_str());
+    CHECK_FALSE_TEXT(plan.next({ 999 }).has_value(), "the pull is under way");
+    STRCMP_EQUAL_TEXT("weak", plan.next({ 1000 })->incarnation().name().c_str(), "the first did not answer");
+    STRCMP_EQUAL("strong", plan.next({ 2000 })->incarnation().name().c_str());
+    plan.recordReachedRevision(20);
+    STRCMP_EQUAL_TEXT("weak", plan.next({ 3000 })->incarnation().name().c_str(), "only this one has more");
+}
+
 TEST(PullScheduler, WaitsForTheLeadersUpdateAfterOneWithoutChanges)
 {
     PullScheduler plan({});
