An instance that is only behind pulls before it watches the store

Cause: an instance without a complete update for 1.45 to 1.7 s watched the store, also when fresh updates arrived and only earlier changes were missing. In a large fleet many are behind at once, and each then sends updates itself and is asked by others. Change: as long as a watcher's updates come and are fresh, the store is called only 2.0 to 2.4 s after the last confirmation, so that the pull is answered first. This is shorter than the 2.5 s after which the store counts as unavailable. When the updates stop, 1.45 to 1.7 s hold as before. Test changed: the case "enough others watch, but the knowledge here is stale" asked for a call after 2.0 s; it is replaced by four cases that ask for the call within 2.4 s, for none before 2.0 s, and for the unchanged bound when the updates stop.

--- a/Source/Membership/WatcherSelection.cpp
+++ b/Source/Membership/WatcherSelection.cpp
@@ -102,17 +102,29 @@
 
 Milliseconds WatcherSelection::othersUnansweredUntil(Milliseconds now) const
 {
+    // Its updates do not arrive complete, or the knowledge of this instance would be fresh.
+    if (now < this->freshUntil())
+        return LongAgo;
     Milliseconds until = LongAgo;
-    for (const Watcher& watcher : this->known) {
-        // This watcher has fresh answers of the store, but its updates do not arrive complete, or the knowledge of this
-        // instance would be fresh.
-        if (now < watcher.confirmedAt + this->options.staleAfter)
-            return LongAgo;
+    for (const Watcher& watcher : this->known)
         until = std::max(until, watcher.updatedAt + this->options.staleAfter);
-    }
     return until;
 }
 
+Milliseconds WatcherSelection::freshUntil() const
+{
+    Milliseconds until = LongAgo;
+    for (const Watcher& watcher : this->known)
+        until = std::max(until, watcher.confirmedAt + this->options.staleAfter);
+    return until;
+}
+
+Milliseconds WatcherSelection::behindUntil(Milliseconds confirmedAt) const
+{
+    return confirmedAt + this->options.behindAfter
+        + this->options.behindSpread * unitIntervalOf(this->ownRank.hash);
+}
+
 std::size_t WatcherSelection::countComparableWatchers(Milliseconds now) const
 {
     return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&](const Watcher& watcher) {
@@ -149,8 +161,14 @@
     return now >= confirmedAt + this->stalenessBound();
 }
 
-bool WatcherSelection::shouldCallStore(bool isWatching, std::size_t instances, Milliseconds now)
+bool WatcherSelection::shouldCallStore(
+    bool isWatching, Milliseconds confirmedAt, std::size_t instances, Milliseconds now)
 {
+    const Milliseconds deferred = std::min(this->freshUntil(), this->behindUntil(confirmedAt));
+    if (!isWatching && now < deferred) {
+        this->deferredUntil = deferred;
+        return false;
+    }
     const Milliseconds until = this->othersUnansweredUntil(now);
     const bool isOneOfFew = isWatching && this->countCallingBelow(now) < this->options.wantedWatchers;
     if (now >= until || isOneOfFew) {
@@ -181,7 +199,7 @@
         this->vacantSince = now;
     const bool shouldVolunteer = isVacant && now >= this->vacantSince + this->volunteerDelay();
     if (this->isStale(confirmedAt, now))
-        return this->shouldCallStore(isWatching, instances, now) || shouldVolunteer;
+        return this->shouldCallStore(isWatching, confirmedAt, instances, now) || shouldVolunteer;
     this->nextTurn = Never;
     return isWatching ? this->countActiveBelow(now) < this->options.wantedWatchers : shouldVolunteer;
 }
--- a/Source/Membership/WatcherSelection.h
+++ b/Source/Membership/WatcherSelection.h
@@ -20,6 +20,9 @@
  * name, and stops when enough other watchers have a lower rank. An instance without fresh knowledge of the store, for
  * whatever cause, watches at once, except as follows.
  *
+ * An instance that receives fresh updates, but misses changes before them, is not cut off. It pulls those changes and
+ * watches only if that takes too long. Otherwise, whenever a large fleet is late, every instance would call the store.
+ *
  * During a store outage the watchers keep calling the store, and their updates say that it does not answer. Instances
  * that receive those updates do not call the store too, or all of them would call it again and again. Each calls it
  * only in its turn, once a round, in case the store refuses just the watchers.
@@ -32,6 +35,12 @@
         std::size_t wantedWatchers = 3; // number of watchers
         Milliseconds staleAfter{ 1450 }; // knowledge of the store older than this is stale
         Milliseconds staleSpread{ 250 }; // added to that, depending on the name, so that not all call the store at once
+        /**
+         * The same for an instance that receives fresh updates but misses earlier changes. It has pulled them by then;
+         * in a large fleet many are behind at once. Shorter than the 2.5 s after which the store counts as unavailable.
+         */
+        Milliseconds behindAfter{ 2000 };
+        Milliseconds behindSpread{ 400 };
         Milliseconds expireAfter{ 3000 }; // a watcher without a message for longer is gone
         /** The same for the watcher of the lowest rank, which the next one then replaces; updates come every 1.3 s. */
         Milliseconds firstExpireAfter{ 2000 };
@@ -111,8 +120,10 @@
      * one of them has fresh answers, or there are none.
      */
     Milliseconds othersUnansweredUntil(Milliseconds now) const;
-    /** Whether this instance, whose knowledge is stale, should call the store itself. */
-    bool shouldCallStore(bool isWatching, std::size_t instances, Milliseconds now);
+    /** Until when a watcher counts as having fresh answers of the store, by the updates received so far. */
+    Milliseconds freshUntil() const;
+    /** Whether this instance, whose knowledge of confirmedAt is stale, should call the store itself. */
+    bool shouldCallStore(bool isWatching, Milliseconds confirmedAt, std::size_t instances, Milliseconds now);
     static Rank rankOf(std::string_view name, std::uint32_t capacity);
     /** The number of other instances that watch or call the store and have at least the capacity of this one. */
     std::size_t countComparableWatchers(Milliseconds now) const;
@@ -121,6 +132,8 @@
     std::vector<const Watcher*> ranked(Milliseconds now) const;
     Milliseconds volunteerDelay() const;
     Milliseconds stalenessBound() const;
+    /** When an instance that receives fresh updates, but misses changes since confirmedAt, calls the store. */
+    Milliseconds behindUntil(Milliseconds confirmedAt) const;
 
     Options options;
     Rank ownRank;
--- a/Tests/Membership/WatcherSelectionTest.cpp
+++ b/Tests/Membership/WatcherSelectionTest.cpp
@@ -24,7 +24,7 @@
 
 constexpr Milliseconds Fresh{ 10000 };
 
-/** An instance that received updates of other watchers 100 ms ago. */
+/** An instance that received updates of other watchers, usually 100 ms ago. */
 struct Case {
     const char* name;
     int others; // number of other watchers
@@ -32,11 +32,16 @@
     bool isWatching;
     Milliseconds confirmedAt; // when this instance's knowledge was last confirmed
     bool watches; // the expected result
+    Milliseconds othersUpdatedAt{ 9900 }; // when their updates were received
 };
 
 const std::vector<Case> Cases{
     { "enough others watch", 3, { 9900 }, false, { 9800 }, false },
-    { "enough others watch, but the knowledge here is stale", 3, { 9900 }, false, { 8000 }, true },
+    { "updates of the others come, but earlier changes have been missing for longer than a pull takes", 3, { 9900 },
+        false, { 7600 }, true },
+    { "the same, not for long", 3, { 9900 }, false, { 8001 }, false },
+    { "the same, and this instance watches already", 3, { 9900 }, true, { 8001 }, true },
+    { "the updates of the others stopped", 3, { 8100 }, false, { 8100 }, true, { 8100 } },
     { "the store does not answer the others", 3, { 8000 }, false, { 8000 }, false },
     { "the store does not answer the others, and this is one of the few watchers", 2, { 8000 }, true, { 8000 }, true },
     { "there have only just been no watchers", 0, { 9900 }, false, { 9800 }, false },
@@ -53,7 +58,7 @@
     for (const Case& item : Cases) {
         WatcherSelection duty({ .ownName = "entry-1" });
         for (int other = 0; other < item.others; ++other)
-            duty.recordWatcherMessage(member("other-" + std::to_string(other)), item.othersConfirmedAt, { 9900 });
+            duty.recordWatcherMessage(member("other-" + std::to_string(other)), item.othersConfirmedAt, item.othersUpdatedAt);
         CHECK_TEXT(duty.shouldWatch(item.isWatching, item.confirmedAt, Instances, Fresh) == item.watches, item.name);
     }
 }
