--- a/Tests/LargeFleet/LargeFleet.cc
+++ b/Tests/LargeFleet/LargeFleet.cc
@@ -19,11 +19,11 @@
 using namespace burlreach;
 
 const std::vector<StartPlay> Plays{
-    { .name = "2-instances", .instances = 2, .strong = 1, .servers = 20 },
-    { .name = "24-instances", .instances = 24, .strong = 18, .servers = 240 },
-    { .name = "300-instances", .instances = 300, .strong = 12, .servers = 3000 },
-    { .name = "984-instances", .instances = 984, .strong = 36, .servers = 10000 },
-    { .name = "984-weak-instances", .instances = 984, .strong = 0, .servers = 10000 },
+    { .name = "fleet-of-2", .instances = 2, .strong = 1, .servers = 20 },
+    { .name = "fleet-of-24", .instances = 24, .strong = 18, .servers = 240 },
+    { .name = "fleet-of-300", .instances = 300, .strong = 12, .servers = 3000 },
+    { .name = "fleet-of-984", .instances = 984, .strong = 36, .servers = 10000 },
+    { .name = "weak-fleet-of-984", .instances = 984, .strong = 0, .servers = 10000 },
 };
 
 std::string textOf(const StartResult& result)
