A confirmation of the store counts once the changes that it covers are here

What callers saw: nothing by itself; instances of a large fleet watched the store while they received every change (35 of 56 in one second of the whole fleet). Cause: an update that came before its changes, as each one does whose changes follow in a push, did not count as a confirmation, neither then nor when the push had come. While the directory grew, the knowledge of instances that were 0.3 s behind looked 1.7 s old. Change: the confirmation of such an update is kept, with the time at which the store gave it, and applies when the view reaches its revision.

--- a/Source/Node/StoreSynchronizer.cpp
+++ b/Source/Node/StoreSynchronizer.cpp
@@ -29,6 +29,9 @@
  */
 constexpr std::size_t MaxUpdateChangeBytes = 16384;
 
+/** Updates whose changes are awaited; the watchers send some eight a second. */
+constexpr std::size_t MaxPendingConfirmations = 64;
+
 /** Shorter lists of items are sent uncompressed. */
 constexpr std::size_t MinPackedBytes = 4096;
 
@@ -124,13 +127,24 @@
             this->storeView.applyChanges(items, this->storeView.revision()), ChangeSource::News, now, actions);
         if (areAllRead)
             this->storeView.recordAppliedAhead(news.base_revision(), news.store_revision());
-        if (news.store_revision() > this->storeView.revision())
-            return false;
     }
     const Milliseconds age{ static_cast<double>(news.age_milliseconds()) };
     if (news.is_confirmed())
-        this->markConfirmed(now - age - PeerLatency, now);
-    return true;
+        this->pendingConfirmations.push_back({ .revision = news.store_revision(), .at = now - age - PeerLatency });
+    if (this->pendingConfirmations.size() > MaxPendingConfirmations)
+        this->pendingConfirmations.pop_front();
+    this->settleConfirmations(now);
+    return news.store_revision() <= this->storeView.revision();
+}
+
+void StoreSynchronizer::settleConfirmations(Milliseconds now)
+{
+    std::erase_if(this->pendingConfirmations, [&](const Confirmation& confirmation) {
+        const bool isHere = confirmation.revision <= this->storeView.revision();
+        if (isHere)
+            this->markConfirmed(confirmation.at, now);
+        return isHere;
+    });
 }
 
 void StoreSynchronizer::markConfirmed(Milliseconds at, Milliseconds now)
@@ -181,6 +195,7 @@
         ChangeSource::Push, now, actions);
     if (areAllRead && !isEverything)
         this->storeView.recordAppliedAhead(push.base_revision(), push.store_revision());
+    this->settleConfirmations(now);
     return areAllRead;
 }
 
--- a/Source/Node/StoreSynchronizer.h
+++ b/Source/Node/StoreSynchronizer.h
@@ -10,6 +10,7 @@
 #include "peers.pb.h"
 
 #include <algorithm>
+#include <deque>
 #include <span>
 #include <vector>
 
@@ -84,16 +85,25 @@
     /** Compresses a long list of items as a whole: records are similar, so 719 of them shrink to a fifth. */
     static void pack(peers::Push& push);
     void markConfirmed(Milliseconds at, Milliseconds now);
+    /** Applies the confirmations of gossip updates whose changes are all here by now. */
+    void settleConfirmations(Milliseconds now);
     /** True when the view was not confirmed for too long; false before the first confirmation. */
     bool isStoreUnavailable(Milliseconds now) const;
     void notifyListener(const std::vector<StoreItem>& changes, ChangeSource source, Milliseconds now, Actions& actions);
 
+    /** The store confirmed at this time that the revision is its latest. */
+    struct Confirmation {
+        StoreRevision revision = 0;
+        Milliseconds at;
+    };
+
     StoreView storeView;
     ItemPacker packer{ this->storeView };
     peers::Push fullPushCache; // cache of fullPush(): usually many instances request it in a row
     StoreReader reader;
     StoreListener* listener;
     DecisionCounters* counters;
+    std::deque<Confirmation> pendingConfirmations; // of updates that came before the changes that they name
     Milliseconds lastConfirmedAt = LongAgo;
     Milliseconds lastFullReadAt = LongAgo; // when the whole view was last read or received, possibly some seconds old
     Milliseconds outageEndedAt = LongAgo; // first confirmation after the latest outage of the store
