Each missing revision is pulled when it is due itself, and pushes that come renew the wait

Cause: one time stood for all missing revisions. A watcher that does not lead names revisions without changes; 200 ms later a pull was due, and stayed due as long as some later revision was missing, so that each push was followed by a pull. And a stream of pushes that was late as a whole timed out, though it arrived. Change: each named revision has its own due time and leaves with the changes. A push that comes without a gap begins the wait for the next announced ones anew. Evidence: EachMissingRevisionIsDueAtItsOwnTime fails on the logic before (by reading), passes now; the other cases as before, but for the time of WaitsForEachAnnouncedPush.

--- a/Source/Membership/PullScheduler.cpp
+++ b/Source/Membership/PullScheduler.cpp
@@ -5,6 +5,13 @@
 
 namespace burlreach {
 
+namespace {
+
+/** Revisions named while changes are missing; the watchers send some twenty updates a second. */
+constexpr std::size_t MaxMissing = 32;
+
+}
+
 PullScheduler::PullScheduler(Options givenOptions)
     : options(givenOptions)
 {
@@ -21,9 +28,11 @@
         known->member = origin;
         known->revision = std::max(known->revision, revision);
     }
-    this->wantedRevision = std::max(this->wantedRevision, revision);
     const Milliseconds due = heldChanges ? now : now + this->options.updateDelay;
-    this->nextPull = std::min(this->nextPull, due);
+    if (this->missing.size() < MaxMissing)
+        return this->missing.push_back({ .revision = revision, .due = due });
+    MissingChanges& last = this->missing.back();
+    last = { .revision = std::max(last.revision, revision), .due = std::min(last.due, due) };
 }
 
 void PullScheduler::recordAnnouncedPush(std::uint64_t revision, Milliseconds now)
@@ -31,21 +40,22 @@
     this->expectedPushes.push_back({ .revision = revision, .until = now + this->options.pushTimeout });
 }
 
-void PullScheduler::recordReceivedPush(std::uint64_t revision, std::uint64_t reached)
+void PullScheduler::recordReceivedPush(std::uint64_t revision, std::uint64_t reached, Milliseconds now)
 {
     if (reached < revision)
         return this->expectedPushes.clear();
     std::erase_if(this->expectedPushes, [revision](const ExpectedPush& push) { return push.revision <= revision; });
+    for (ExpectedPush& push : this->expectedPushes)
+        push.until = std::max(push.until, now + this->options.pushTimeout);
 }
 
 void PullScheduler::recordReachedRevision(std::uint64_t revision)
 {
     std::erase_if(this->sources, [revision](const Source& source) { return source.revision <= revision; });
-    if (revision < this->wantedRevision)
-        return;
-    this->wantedRevision = 0;
-    this->nextPull = Never;
-    this->expectedPushes.clear();
+    // What was named later is due at its own time: the next update usually brings it.
+    std::erase_if(this->missing, [revision](const MissingChanges& item) { return item.revision <= revision; });
+    if (this->missing.empty())
+        this->expectedPushes.clear();
 }
 
 void PullScheduler::recordAnswer()
@@ -57,7 +67,7 @@
 
 std::optional<peers::Member> PullScheduler::next(Milliseconds now)
 {
-    if (!this->wantedRevision || now < this->nextDue())
+    if (now < this->nextDue())
         return std::nullopt;
     std::erase_if(this->expectedPushes, [now](const ExpectedPush& push) { return push.until <= now; });
     this->lastPull = now;
@@ -73,10 +83,12 @@
 
 Milliseconds PullScheduler::nextDue() const
 {
-    if (!this->wantedRevision)
+    const auto first = std::min_element(this->missing.begin(), this->missing.end(),
+        [](const MissingChanges& left, const MissingChanges& right) { return left.due < right.due; });
+    if (first == this->missing.end())
         return Never;
     const Milliseconds pushUntil = this->expectedPushes.empty() ? LongAgo : this->expectedPushes.front().until;
-    return std::max({ this->nextPull, this->pullTimeoutAt, pushUntil });
+    return std::max({ first->due, this->pullTimeoutAt, pushUntil });
 }
 
 }
--- a/Source/Membership/PullScheduler.h
+++ b/Source/Membership/PullScheduler.h
@@ -39,9 +39,10 @@
     void recordAnnouncedPush(std::uint64_t revision, Milliseconds now);
     /**
      * A push with changes up to this revision was received; this instance now has all changes up to `reached`. If that
-     * is less, changes before the push are missing too, and no later push can bring them.
+     * is less, changes before the push are missing too, and no later push can bring them. Otherwise the pushes
+     * announced after it are on their way as well, and the wait for them begins anew.
      */
-    void recordReceivedPush(std::uint64_t revision, std::uint64_t reached);
+    void recordReceivedPush(std::uint64_t revision, std::uint64_t reached, Milliseconds now);
     /** This instance now has all changes up to this revision. */
     void recordReachedRevision(std::uint64_t revision);
     /** An answer to a pull was received, whatever its content. */
@@ -66,11 +67,16 @@
         Milliseconds until; // how long to wait for it
     };
 
+    /** Changes up to a revision that was named and that this instance does not have. */
+    struct MissingChanges {
+        std::uint64_t revision = 0;
+        Milliseconds due; // when to pull them, if they have not come
+    };
+
     Options options;
     std::vector<Source> sources;
+    std::deque<MissingChanges> missing; // in the order in which they were named
     std::deque<ExpectedPush> expectedPushes; // in the order of their announcements
-    std::uint64_t wantedRevision = 0; // the latest revision named; 0: nothing is missing
-    Milliseconds nextPull = Never; // when the next pull is due
     Milliseconds lastPull = LongAgo;
     Milliseconds pullTimeoutAt = LongAgo; // timeout of the pull under way
 };
--- a/Source/Membership/WatcherSelection.cpp
+++ b/Source/Membership/WatcherSelection.cpp
@@ -121,8 +121,7 @@
 
 Milliseconds WatcherSelection::behindUntil(Milliseconds confirmedAt) const
 {
-    return confirmedAt + this->options.behindAfter
-        + this->options.behindSpread * unitIntervalOf(this->ownRank.hash);
+    return confirmedAt + this->options.behindAfter + this->options.behindSpread * unitIntervalOf(this->ownRank.hash);
 }
 
 std::size_t WatcherSelection::countComparableWatchers(Milliseconds now) const
--- a/Source/Node/GossipExchange.cpp
+++ b/Source/Node/GossipExchange.cpp
@@ -217,8 +217,8 @@
         peers::PeerMessage answer;
         *answer.mutable_push() = this->dependencies.store->pushFor(pull);
         this->dependencies.counters->add(DecisionCount::PullsAnswered, group.askers.size());
-        actions.emplace_back(pushRecord("changes_sent", group.askers.front().member.incarnation(), answer.push(),
-            *this->dependencies.store)
+        actions.emplace_back(pushRecord(
+            "changes_sent", group.askers.front().member.incarnation(), answer.push(), *this->dependencies.store)
                                  .with("instances", std::uint64_t{ group.askers.size() }));
         this->sendToBranches(rootBranches(group.askers, this->options.tree, now), std::move(answer), actions);
     }
@@ -270,7 +270,7 @@
     this->needsValuesWithoutBase = !this->dependencies.store->applyPush(push, now, actions);
     const StoreRevision reached = this->dependencies.store->view().revision();
     if (push.is_unasked())
-        this->pulls.recordReceivedPush(push.store_revision(), reached);
+        this->pulls.recordReceivedPush(push.store_revision(), reached, now);
     this->pulls.recordReachedRevision(reached);
     this->pull(now, actions);
     this->announceFirstView(now, actions);
@@ -536,7 +536,8 @@
 
 Milliseconds GossipExchange::nextDue() const
 {
-    Milliseconds due = std::min({ this->nextHello, this->sendViewAt, this->pulls.nextDue(), this->pullAnswers.nextDue() });
+    Milliseconds due
+        = std::min({ this->nextHello, this->sendViewAt, this->pulls.nextDue(), this->pullAnswers.nextDue() });
     if (this->dependencies.store->isWatching())
         due = std::min({ due, this->nextSeeds, this->nextKeepAlive() });
     for (const InForceCall& call : this->inForceCalls)
--- a/Tests/Membership/PullSchedulerTest.cpp
+++ b/Tests/Membership/PullSchedulerTest.cpp
@@ -100,7 +100,7 @@
     PullScheduler plan({});
     plan.recordAnnouncedPush(20, { 100 });
     plan.recordMissingChanges(origin("a"), 20, true, { 100 });
-    plan.recordReceivedPush(20, 10);
+    plan.recordReceivedPush(20, 10, { 110 });
     CHECK(plan.next({ 110 }).has_value());
 }
 
@@ -113,11 +113,11 @@
     plan.recordMissingChanges(origin("a"), 20, true, { 100 });
     plan.recordAnnouncedPush(21, { 250 });
     plan.recordMissingChanges(origin("a"), 21, true, { 250 });
-    plan.recordReceivedPush(20, 20);
+    plan.recordReceivedPush(20, 20, { 300 });
     plan.recordReachedRevision(20);
     CHECK_FALSE(plan.next({ 300 }).has_value());
-    LONGS_EQUAL_TEXT(1150, static_cast<long>(plan.nextDue().count), "900 ms after the second was announced");
-    plan.recordReceivedPush(21, 21);
+    LONGS_EQUAL_TEXT(1200, static_cast<long>(plan.nextDue().count), "900 ms after the last sign of pushes");
+    plan.recordReceivedPush(21, 21, { 400 });
     plan.recordReachedRevision(21);
     CHECK(plan.nextDue() == Never);
 }
@@ -129,6 +129,21 @@
     plan.recordMissingChanges(origin("a"), 20, true, { 100 });
     plan.recordAnnouncedPush(21, { 250 });
     plan.recordMissingChanges(origin("a"), 21, true, { 250 });
-    plan.recordReceivedPush(20, 18);
+    plan.recordReceivedPush(20, 18, { 260 });
     CHECK(plan.next({ 260 }).has_value());
 }
+
+// Guards against pulls at each push of a growing directory: a watcher that does not lead had named a later revision more
+// than 200 ms before, and the push that came did not reach the revision that it named last.
+TEST(PullScheduler, EachMissingRevisionIsDueAtItsOwnTime)
+{
+    PullScheduler plan({});
+    for (std::uint64_t revision = 20; revision < 40; ++revision) {
+        const Milliseconds now{ static_cast<double>(revision) * 100 };
+        plan.recordMissingChanges(origin("other"), revision + 1, false, now);
+        plan.recordReachedRevision(revision);
+        CHECK_FALSE(plan.next(now).has_value());
+        CHECK(plan.nextDue() <= now + Milliseconds{ 200 });
+    }
+    CHECK_TEXT(plan.next({ 4100 }).has_value(), "the last one did not come");
+}
