--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -308,11 +308,12 @@
     if (due >= this->controlWakesAt)
         return;
     this->controlWakesAt = due;
-    this->controlTimer.expires_after(toDuration(std::max(Milliseconds{}, due - this->clock.now())));
-    this->controlTimer.async_wait([this, due](const asio::error_code& error) {
+    const Milliseconds planned = std::max(due, this->clock.now());
+    this->controlTimer.expires_after(toDuration(planned - this->clock.now()));
+    this->controlTimer.async_wait([this, planned](const asio::error_code& error) {
         if (error)
             return;
-        this->noteDelay(this->clock.now() - due);
+        this->noteDelay(this->clock.now() - planned);
         this->controlWakesAt = Never;
         this->post(ControlTimer{});
     });
--- a/Source/Quotas/CreditShareAssigner.h
+++ b/Source/Quotas/CreditShareAssigner.h
@@ -48,8 +48,8 @@
     explicit CreditShareAssigner(Options options);
 
     /**
-     * The shares to write now; must be called regularly while shares are needed, also while this instance does not lead.
-     * Takes about 1.4 microseconds for each member.
+     * The shares to write now; must be called regularly while shares are needed, also while this instance does not
+     * lead. Takes about 1.4 microseconds for each member.
      */
     std::vector<Assignment> assign(std::span<const CreditShareLease> shares, const Inputs& inputs, Milliseconds now);
     /** The number of shares that one instance may hold in a fleet of this size. */
--- a/Tests/LargeFleet/StartPlay.cpp
+++ b/Tests/LargeFleet/StartPlay.cpp
@@ -37,11 +37,9 @@
 constexpr std::uint32_t WeakCapacity = 10;
 
 /** Measured on one processor with 10,000 items of the store. */
-constexpr ProcessorCost Processor{ .event = { 0.05 },
-    .message = { 0.02 },
-    .kilobyte = { 0.005 },
-    .packing = { 2 },
-    .shareCheck = { 0.0014 } };
+constexpr ProcessorCost Processor{
+    .event = { 0.05 }, .message = { 0.02 }, .kilobyte = { 0.005 }, .packing = { 2 }, .shareCheck = { 0.0014 }
+};
 
 VirtualFleet::Options optionsOf(const StartPlay& play)
 {
--- a/Tests/Membership/WatcherSelectionTest.cpp
+++ b/Tests/Membership/WatcherSelectionTest.cpp
@@ -58,7 +58,8 @@
     for (const Case& item : Cases) {
         WatcherSelection duty({ .ownName = "entry-1" });
         for (int other = 0; other < item.others; ++other)
-            duty.recordWatcherMessage(member("other-" + std::to_string(other)), item.othersConfirmedAt, item.othersUpdatedAt);
+            duty.recordWatcherMessage(
+                member("other-" + std::to_string(other)), item.othersConfirmedAt, item.othersUpdatedAt);
         CHECK_TEXT(duty.shouldWatch(item.isWatching, item.confirmedAt, Instances, Fresh) == item.watches, item.name);
     }
 }
--- a/Tests/Quotas/CreditSharesTest.cpp
+++ b/Tests/Quotas/CreditSharesTest.cpp
@@ -421,8 +421,9 @@
     LONGS_EQUAL(0, all.calls);
 }
 
-// Guards against work that grows with the square of the fleet: the leading watcher hears from each instance and searched
-// all known ones at each message, also where no customer has a limit. At 984 instances this took more than a processor.
+// Guards against work that grows with the square of the fleet: the leading watcher hears from each instance and
+// searched all known ones at each message, also where no customer has a limit. At 984 instances this took more than a
+// processor.
 TEST(CreditShares, TheLeaderSearchesTheFleetAFewTimesASecond)
 {
     struct Load {
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -402,8 +402,8 @@
     place.longestWait = std::max(place.longestWait, this->time.now() - next.since);
     const DecisionCounters before = place.node->counters();
     const Actions actions = this->decide(instance, next.event);
-    this->time.after(this->processorTime(instance, next.event, actions, before),
-        [this, instance, life = place.life, actions] {
+    this->time.after(
+        this->processorTime(instance, next.event, actions, before), [this, instance, life = place.life, actions] {
             if (this->nodes[instance].life != life)
                 return;
             this->nodes[instance].isBusy = false;
@@ -431,9 +431,8 @@
         }
     }
     const Node& node = *this->nodes[instance].node;
-    const auto counted = [&](DecisionCount kind) {
-        return static_cast<double>(node.counters().value(kind) - before.value(kind));
-    };
+    const auto counted
+        = [&](DecisionCount kind) { return static_cast<double>(node.counters().value(kind) - before.value(kind)); };
     const double looks = counted(DecisionCount::CreditShareChecks) * static_cast<double>(node.knownInstances());
     const Milliseconds whole = cost.event + cost.message * static_cast<double>(messages)
         + cost.kilobyte * (static_cast<double>(bytes) / kilobyte) + cost.packing * counted(DecisionCount::ChangesPacked)
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -232,8 +232,8 @@
     void perform(std::size_t instance, std::uint64_t life, const Actions& actions);
     /** Begins the instance's next waiting event, if there is one; it ends when its processor time has passed. */
     void beginNextEvent(std::size_t instance);
-    Milliseconds processorTime(std::size_t instance, const Event& event, const Actions& actions,
-        const DecisionCounters& before) const;
+    Milliseconds processorTime(
+        std::size_t instance, const Event& event, const Actions& actions, const DecisionCounters& before) const;
     void planTimers(std::size_t instance);
     void tell(std::size_t instance, std::string_view step) const;
 
