--- a/Source/Membership/PullCollector.cpp
+++ b/Source/Membership/PullCollector.cpp
@@ -17,7 +17,7 @@
 int distanceClass(StoreRevision since, StoreRevision current)
 {
     constexpr int everything = -1;
-    return since ? std::bit_width(current - std::min(since, current)) : everything;
+    return since ? static_cast<int>(std::bit_width(current - std::min(since, current))) : everything;
 }
 
 }
@@ -50,6 +50,7 @@
         group.askers.push_back(pull.asker);
     }
     std::vector<PullGroup> due;
+    due.reserve(groups.size());
     for (auto& [kind, group] : groups)
         due.push_back(std::move(group));
     if (!due.empty())
