--- a/Tests/Membership/PullSchedulerTest.cpp
+++ b/Tests/Membership/PullSchedulerTest.cpp
@@ -133,8 +133,8 @@
     CHECK(plan.next({ 260 }).has_value());
 }
 
-// Guards against pulls at each push of a growing directory: a watcher that does not lead had named a later revision more
-// than 200 ms before, and the push that came did not reach the revision that it named last.
+// Guards against pulls at each push of a growing directory: a watcher that does not lead had named a later revision
+// more than 200 ms before, and the push that came did not reach the revision that it named last.
 TEST(PullScheduler, EachMissingRevisionIsDueAtItsOwnTime)
 {
     PullScheduler plan({});
