--- a/review/stand_ins/backend.py
+++ b/review/stand_ins/backend.py
@@ -1,7 +1,6 @@
 """Stand-in for a backend server (PROTOCOL.md): slots, a short queue, Not-Executed when full, one request at a time on a
 connection, no Instance-Load ("in some services")."""
 
-import select
 import socket
 import threading
 import time
@@ -25,7 +24,6 @@
         self.answers = 0
         self.rejected = []
         self.arrived = lambda request_id: None
-        self.before_accept = lambda: None
         self.runs = []
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -37,10 +35,8 @@
     def accept(self):
         while True:
             try:
-                select.select([self.listener], [], [])
-                self.before_accept()
                 connection, _ = self.listener.accept()
-            except (OSError, ValueError):
+            except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -120,11 +120,6 @@
         self.record.write(f"{signal.Signals(number).name} to {balancer.name}")
         balancer.process.send_signal(number)
 
-    def pin(self, balancer, cpus):
-        """Runs all threads of a balancer on these processors."""
-        for thread in os.listdir(f"/proc/{balancer.process.pid}/task"):
-            os.sched_setaffinity(int(thread), cpus)
-
     def stop(self):
         for balancer in self.balancers:
             if balancer.process and balancer.process.poll() is None:
