--- a/review/2/run.py
+++ b/review/2/run.py
@@ -16,7 +16,6 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE = 6.0
-LOSS_SLACK = 0.2
 LOAD_SECONDS = 9.0
 PERIOD = 1 / 60  # a new client each: 30 a second of each kind
 LONG_EVERY = 8
@@ -125,7 +124,8 @@
             timed_out = ended - sent >= min(kind.deadline, kind.timeout)
             at_work = sent + works[request_id] >= stop + GRACE * 5 / 6 if around else False
             excused = at_work and around and sent <= stop + 3
-            if around and not timed_out and not excused and (was_passed_on or ended - sent > LOSS_SLACK):
+            # Whether a request that reached no backend had been read can't be seen from here, so it is not counted.
+            if around and not timed_out and not excused and was_passed_on:
                 lost.append(request_id)
                 record.write(f"LOST {request_id}: sent {sent - stop:.2f} s after SIGTERM, ended {ended - stop:.2f} s after it, "
                              f"passed on: {was_passed_on}, work {works[request_id]:.2f} s")
