A stopping instance refuses requests that may outlast it

Callers saw: a request sent to an instance 3 to 4.25 s after its SIGTERM was passed on to a server, and 5.7 s after SIGTERM the connection was closed without an answer while the server worked on it.

Cause: requests were taken until the listener closed, with all the time of their caller, and the process ends at a fixed time. Nothing between the two asked how long the process would live, for first tries, retries, and requests that waited.

Change: Node learns with StopAsked until when callers cannot know of the stop and when the last answers are due. RequestFlow::reasonNotToSend, which every first try, retry and waiting request passes, refuses what may outlast the process, as not run.

--- a/Source/Admission/RetryAfterDelay.cpp
+++ b/Source/Admission/RetryAfterDelay.cpp
@@ -33,6 +33,9 @@
     if (reason == RefusalReason::NoBackendServer || reason == RefusalReason::DataCentreEmptied
         || reason == RefusalReason::NoPath)
         return DefaultRetryAfter;
+    // Other instances can serve the request now.
+    if (reason == RefusalReason::Stopping)
+        return ShortestDelay;
     const double share = reason == RefusalReason::BackendServersRefused ? EarlyRetryShare : 1;
     return std::clamp(targetLatency * (share * (1 + random)), ShortestDelay, LongestDelay);
 }
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -28,6 +28,7 @@
     "backend_servers_refused",
     "answer_broken",
     "no_path",
+    "stopping",
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::Count)> RetryNames{
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -28,6 +28,7 @@
     BackendServersRefused, // the backend servers that were tried did not run it
     AnswerBroken, // the connection closed before the answer was complete, or the answer is invalid
     NoPath, // no backend server of the service can be reached, directly or through another instance
+    Stopping, // this instance is stopping and may end before the request does
     Count
 };
 
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -7,6 +7,7 @@
 #include "Customers/Credential.h"
 #include "Measurement/ProbeManager.h"
 #include "Metrics/Reasons.h"
+#include "Node/StopTimes.h"
 #include "Reachability/RelayNumber.h"
 #include "Routing/AttemptResult.h"
 #include "Routing/ConnectOutcome.h"
@@ -135,7 +136,9 @@
 };
 
 /** This instance was asked to stop and drains its requests. */
-struct StopAsked { };
+struct StopAsked {
+    StopTimes times;
+};
 
 /** The time returned by Node::nextRequestDue() was reached. */
 struct RequestTimer { };
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -284,10 +284,11 @@
     this->gossip.requestMembers(event.call, now, actions);
 }
 
-void Node::dispatch(const StopAsked&, Milliseconds now, Actions& actions)
+void Node::dispatch(const StopAsked& event, Milliseconds now, Actions& actions)
 {
     // Only new requests stop: requests still running here must not act on stale data, so store updates continue.
     this->stopping = true;
+    this->flow.beginStop(event.times, now, actions);
     this->callStore(now, actions);
 }
 
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -16,6 +16,13 @@
 constexpr double SilenceFactor = 2;
 constexpr Milliseconds MinSilence{ 300 };
 
+/**
+ * At the beginning of a planned stop a request that may be repeated is sent if this many times its usual duration is
+ * left: its caller tries again in the rare case that the process ends first. The outcome of a run-once request would
+ * stay unknown.
+ */
+constexpr double LikelyEndFactor = 4;
+
 /** Time for the answer to a permit request, and for the next look at the queue (QueueCheckInterval). */
 constexpr Milliseconds PermitMargin{ 20 };
 
@@ -95,6 +102,8 @@
 {
     if (const auto reason = this->checkKey(request))
         return reason;
+    if (this->mayOutlastStop(request, now))
+        return RefusalReason::Stopping;
     if (this->dependencies.crashes->isRefused(request, now))
         return RefusalReason::CrashesBackendServers;
     if (!this->dependencies.quotas->ensureCredit(request, now))
@@ -104,6 +113,15 @@
     return std::nullopt;
 }
 
+bool RequestFlow::mayOutlastStop(const RequestState& request, Milliseconds now) const
+{
+    if (request.deadline <= this->stop.answersDue)
+        return false;
+    const Milliseconds probableEnd = now + request.service->expectedTime(*request.route) * LikelyEndFactor;
+    const bool isLikelyToEnd = now < this->stop.noticedBy && probableEnd <= this->stop.answersDue;
+    return !isLikelyToEnd || request.route->repeat != Repeat::MayRepeat;
+}
+
 void RequestFlow::handleCreditDecision(
     RequestState& request, const CreditDecision& decision, Milliseconds now, Actions& actions)
 {
@@ -513,6 +531,19 @@
     }
 }
 
+void RequestFlow::beginStop(const StopTimes& times, Milliseconds now, Actions& actions)
+{
+    this->stop = times;
+    std::vector<RequestNumber> unsent;
+    for (const auto& [number, request] : this->requests) {
+        if (request.phase != RequestPhase::Sending && this->mayOutlastStop(request, now))
+            unsent.push_back(number);
+    }
+    std::sort(unsent.begin(), unsent.end());
+    for (const RequestNumber number : unsent)
+        this->refuse(this->requests.at(number), RefusalReason::Stopping, now, actions);
+}
+
 void RequestFlow::capacityChanged(Milliseconds now, Actions& actions)
 {
     for (const auto& service : this->dependencies.services->all())
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -77,6 +77,11 @@
     void pathLost(const std::string& backendServer, Milliseconds now);
     /** Backend servers were added or have free capacity again: sends what is queued. */
     void capacityChanged(Milliseconds now, Actions& actions);
+    /**
+     * From now on requests that may outlast this process are refused as not run, so that their callers try another
+     * instance instead of losing the answer (docs/design/planned-stops.md).
+     */
+    void beginStop(const StopTimes& times, Milliseconds now, Actions& actions);
     void tick(Milliseconds now, Actions& actions);
     /** The time at which tick() must be called next. */
     Milliseconds nextDue(Milliseconds now) const;
@@ -90,6 +95,7 @@
     std::optional<RefusalReason> checkKey(RequestState& request) const;
     /** The reason why the request must not be sent now, independent of which servers are available. */
     std::optional<RefusalReason> reasonNotToSend(RequestState& request, Milliseconds now) const;
+    bool mayOutlastStop(const RequestState& request, Milliseconds now) const;
     void handleCreditDecision(
         RequestState& request, const CreditDecision& decision, Milliseconds now, Actions& actions);
     /** Starts the search for a server, once quota credit has been granted. */
@@ -119,6 +125,7 @@
     RequestRefuser refuser;
     Requests requests;
     AttemptNumber lastAttempt = 0;
+    StopTimes stop;
 };
 
 }
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -372,7 +372,7 @@
     this->stopLimit.setAwaited("requests");
     this->stopLimit.set(now + this->settings.stopBound * LimitShare);
     this->log.write(Severity::Info, "stopping", "\"bound\":" + std::to_string(this->settings.stopBound.count));
-    this->post(StopAsked{});
+    this->post(StopAsked{ .times = this->stop.times() });
     this->traffic.run(
         [this] { takeStopStep(this->traffic.requestDesk().callerListener(), StopSequence::Step::Announced); });
     this->scheduleTending();
--- a/Source/Program/StopSequence.cpp
+++ b/Source/Program/StopSequence.cpp
@@ -11,6 +11,8 @@
  * at most. The rest of it is left for the last requests to finish.
  */
 constexpr double AcceptingShare = 0.5;
+/** Time left to write the last answers before the process exits. */
+constexpr Milliseconds WritingTime{ 200 };
 
 }
 
@@ -46,6 +48,14 @@
     return this->current;
 }
 
+StopTimes StopSequence::times() const
+{
+    if (this->current == Step::None)
+        return {};
+    return { .noticedBy = this->began + this->options.lead,
+        .answersDue = this->began + this->options.bound * BoundUsed - WritingTime };
+}
+
 void StopSequence::enter(Step next)
 {
     this->current = next;
--- a/Source/Program/StopSequence.h
+++ b/Source/Program/StopSequence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Milliseconds.h"
+#include "Node/StopTimes.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -53,6 +54,8 @@
      */
     Step advance(const CountedWork& work, Milliseconds now);
     Step step() const { return this->current; }
+    /** The times that decide which requests are still taken; those of no stop before begin(). */
+    StopTimes times() const;
     /** The number of the last call of advance(); the next count is made for it. */
     std::uint64_t look() const { return this->looks; }
 
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -295,6 +295,41 @@
     };
 }
 
+/** The stopping instance's last answers are due after longer than callers wait, and it ends soon afterwards. */
+constexpr Milliseconds Noticed{ 400 };
+constexpr Milliseconds AnswersDue{ 900 };
+constexpr Milliseconds StopEnd{ 1000 };
+
+/** The struck instance is stopped and ends, while a number of servers have this fault. */
+Fault stopFault(std::string_view faultName, ServerFault fault, std::size_t servers)
+{
+    const Fault beside = serverFault(faultName, fault, servers, false);
+    return { .name = faultName,
+        .inject =
+            [inject = beside.inject](VirtualFleet& fleet) {
+                inject(fleet);
+                fleet.stop(StruckInstance, { .noticedBy = Noticed, .answersDue = AnswersDue, .end = StopEnd });
+            },
+        .heal =
+            [heal = beside.heal](VirtualFleet& fleet) {
+                heal(fleet);
+                restartDead(fleet);
+            },
+        .isConfined = !servers };
+}
+
+std::vector<Fault> makeStopFaults()
+{
+    constexpr std::size_t half = 3;
+    constexpr std::size_t all = 6;
+    return {
+        stopFault("stopped", ServerFault::None, 0),
+        stopFault("stopped-beside-slow-servers", ServerFault::Slow, all),
+        stopFault("stopped-beside-hanging-servers", ServerFault::Hangs, half),
+        stopFault("stopped-beside-lost-answers", ServerFault::LosesAnswers, half),
+    };
+}
+
 std::vector<Fault> makeWordFaults()
 {
     constexpr std::size_t half = 3;
@@ -329,6 +364,12 @@
     return faults;
 }
 
+std::span<const Fault> stopFaults()
+{
+    static const std::vector<Fault> faults = makeStopFaults();
+    return faults;
+}
+
 std::span<const Fault> laterFaults()
 {
     static const std::vector<Fault> faults = makeLaterFaults();
--- a/Tests/FaultMatrix/Fault.h
+++ b/Tests/FaultMatrix/Fault.h
@@ -31,5 +31,7 @@
 std::span<const Fault> pathFaults();
 /** Lost paths that differ between instances, for long enough that others must relay; kept apart for the same reason. */
 std::span<const Fault> unequalPathFaults();
+/** Planned stops of a process that ends at its time limit, beside servers that work longer; kept apart likewise. */
+std::span<const Fault> stopFaults();
 
 }
--- a/Tests/FaultMatrix/FaultMatrix.cc
+++ b/Tests/FaultMatrix/FaultMatrix.cc
@@ -118,18 +118,18 @@
     return jobs;
 }
 
-/** Every one of these faults of network paths at every step, and with every other fault. */
-std::vector<Job> pathJobs(std::span<const Fault> paths, std::uint64_t firstSeed)
+/** Every one of these faults at every step, and with every fault of the earlier sets. */
+std::vector<Job> jobsOf(std::span<const Fault> tested, std::uint64_t firstSeed)
 {
     std::vector<Job> jobs;
     const auto add = [&](const Step& step, std::vector<const Fault*> faults) {
         jobs.push_back(jobOf(step, std::move(faults), firstSeed + jobs.size()));
     };
     for (const Step& step : allSteps()) {
-        for (const Fault& fault : paths)
+        for (const Fault& fault : tested)
             add(step, { &fault });
     }
-    for (const Fault& fault : paths) {
+    for (const Fault& fault : tested) {
         for (const auto others : { allFaults().subspan(1), laterFaults(), wordFaults() }) {
             for (const Fault& other : others)
                 add(allSteps()[jobs.size() % allSteps().size()], { &other, &fault });
@@ -166,9 +166,12 @@
         jobs.push_back(std::move(job));
     constexpr std::uint64_t firstPathSeed = 60000;
     constexpr std::uint64_t firstUnequalPathSeed = 70000;
-    for (Job& job : pathJobs(pathFaults(), firstPathSeed))
+    constexpr std::uint64_t firstStopSeed = 80000;
+    for (Job& job : jobsOf(pathFaults(), firstPathSeed))
         jobs.push_back(std::move(job));
-    for (Job& job : pathJobs(unequalPathFaults(), firstUnequalPathSeed))
+    for (Job& job : jobsOf(unequalPathFaults(), firstUnequalPathSeed))
+        jobs.push_back(std::move(job));
+    for (Job& job : jobsOf(stopFaults(), firstStopSeed))
         jobs.push_back(std::move(job));
     const std::size_t cells = jobs.size();
     for (const LimitPlay& play : largeFleets())
--- a/Tests/FaultMatrix/Promises.cpp
+++ b/Tests/FaultMatrix/Promises.cpp
@@ -42,6 +42,8 @@
     const bool isExcused = caller.outcome == CallerOutcome::Cut || caller.kind == "frozen";
     if (!isExcused && end > caller.deadline + Grace)
         this->sentences.push_back(caller.requestId + " had no final answer by its deadline");
+    if (caller.wasCutByStop)
+        this->sentences.push_back(caller.requestId + " was cut off by the end of a planned stop");
     const bool isRefused = caller.outcome == CallerOutcome::NotRun || caller.outcome == CallerOutcome::Unknown;
     if (isRefused && caller.comeBackAfter.count <= 0)
         this->sentences.push_back(caller.requestId + " was refused without a time after which to retry");
--- a/Tests/Program/StopSequenceTest.cpp
+++ b/Tests/Program/StopSequenceTest.cpp
@@ -44,6 +44,18 @@
     CHECK(this->advance(1, 4760) == Step::Ended);
 }
 
+// Requests that are sent to a server until the process exits lose their answers.
+TEST(StopSequence, AnswersAreDueBeforeTheExit)
+{
+    CHECK(this->stop.times().answersDue == Never);
+    this->stop.begin({ 100 });
+    CHECK(this->stop.times().noticedBy == Milliseconds{ 1100 });
+    const Milliseconds due = this->stop.times().answersDue;
+    CHECK_TEXT(due == Milliseconds{ 4650 }, "time to write the last answers is left");
+    CHECK(this->advance(1, due.count + 100) != Step::Ended);
+    CHECK(this->advance(1, due.count + 200) == Step::Ended);
+}
+
 TEST(StopSequence, ASecondRequestChangesNothing)
 {
     this->stop.begin({ 0 });
--- a/Tests/Virtual/VirtualCaller.h
+++ b/Tests/Virtual/VirtualCaller.h
@@ -33,6 +33,7 @@
     RefusalReason reason = RefusalReason::NoRoute;
     /** Refused because no instance reaches the service, although one that could relay has reached it for a while. */
     bool wasRefusedDespitePath = false;
+    bool wasCutByStop = false; // the instance ended by a planned stop before it answered
     Milliseconds comeBackAfter;
     Milliseconds endedAt = Never;
     std::string answerOf; // id of the request to which the received answer belongs
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -232,6 +232,7 @@
     Place& place = this->nodes[instance];
     place.isFrozen = false;
     place.changedAt = this->time.now();
+    place.resumedAt = this->time.now();
     const std::vector<Event> held = std::exchange(place.held, {});
     for (const Event& event : held) {
         if (place.node)
@@ -244,6 +245,28 @@
     this->deliver(instance, this->nodes[instance].life, StopAsked{});
 }
 
+void VirtualFleet::stop(std::size_t instance, const PlannedStop& planned)
+{
+    const std::uint64_t life = this->nodes[instance].life;
+    const Milliseconds now = this->time.now();
+    this->deliver(instance, life,
+        StopAsked{ .times = { .noticedBy = now + planned.noticedBy, .answersDue = now + planned.answersDue } });
+    this->time.after(planned.end, [this, instance, life, begin = now, noticedBy = planned.noticedBy] {
+        const Place& place = this->nodes[instance];
+        if (place.life != life)
+            return;
+        // An instance that is suspended meanwhile cannot answer in time. Requests that may be repeated are taken on their
+        // usual duration while callers cannot know of the stop.
+        const bool wasSuspended = place.isFrozen || place.resumedAt >= begin;
+        for (auto& [number, caller] : this->callerList) {
+            const bool isOpen = caller.instance == instance && caller.outcome == CallerOutcome::Waiting;
+            const bool mayBeCut = wasSuspended || (!caller.runOnce && caller.sentAt < begin + noticedBy);
+            caller.wasCutByStop = caller.wasCutByStop || (isOpen && !mayBeCut);
+        }
+        this->kill(instance);
+    });
+}
+
 void VirtualFleet::cutFromPeers(std::size_t instance, bool cut)
 {
     this->nodes[instance].isCut = cut;
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -138,6 +138,13 @@
     void freeze(std::size_t instance);
     void wake(std::size_t instance);
     void askToStop(std::size_t instance);
+    /** A planned stop of a process that ends at a fixed time: the times are counted from now. */
+    struct PlannedStop {
+        Milliseconds noticedBy; // until then callers cannot know of the stop
+        Milliseconds answersDue;
+        Milliseconds end;
+    };
+    void stop(std::size_t instance, const PlannedStop& planned);
     void cutFromPeers(std::size_t instance, bool cut);
     /** Cuts the instance off from these backend servers, or from all if none is named; None heals the cut. */
     void cutFromServers(std::size_t instance, ServerCut cut, const std::set<std::string>& servers = {});
@@ -196,6 +203,7 @@
         std::set<std::string> cutServers; // empty: all of them, if there is a cut
         std::size_t side = 0; // partition to which the instance belongs
         Milliseconds changedAt = LongAgo; // last start, suspension, or change of its network paths
+        Milliseconds resumedAt = LongAgo; // end of the last suspension
         Milliseconds requestTimer = Never;
         Milliseconds controlTimer = Never;
         std::vector<Event> held; // events that arrived while the instance was suspended
