--- a/Tests/Node/StoppingInstanceTest.cpp
+++ b/Tests/Node/StoppingInstanceTest.cpp
@@ -174,8 +174,8 @@
         const Milliseconds comeBack = scenario.fleet.callers().at(refused).comeBackAfter;
         CHECK(comeBack.count > 0 && comeBack <= Milliseconds{ 200 });
         scenario.fleet.run(comeBack);
-        const std::uint64_t again = scenario.fleet.send(
-            instances - 1, { .method = "POST", .path = "/bookings", .timeLeft = { 3700 } });
+        const std::uint64_t again
+            = scenario.fleet.send(instances - 1, { .method = "POST", .path = "/bookings", .timeLeft = { 3700 } });
         scenario.fleet.run(End);
         CHECK(scenario.fleet.callers().at(again).outcome == CallerOutcome::Answered);
     }
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -255,8 +255,8 @@
         const Place& place = this->nodes[instance];
         if (place.life != life)
             return;
-        // An instance that is suspended meanwhile cannot answer in time. Requests that may be repeated are taken on their
-        // usual duration while callers cannot know of the stop.
+        // An instance that is suspended meanwhile cannot answer in time. Requests that may be repeated are taken on
+        // their usual duration while callers cannot know of the stop.
         const bool wasSuspended = place.isFrozen || place.resumedAt >= begin;
         for (auto& [number, caller] : this->callerList) {
             const bool isOpen = caller.instance == instance && caller.outcome == CallerOutcome::Waiting;
