The class of a status goes by its number, not by its name

A server's 103 was passed on as the final answer, and its 200 dropped.

Cause: HeaderDialect::isSuccess and HttpExchange took the class of a status from the library's list of names, where a number without a name has no class. Such an answer is no success, so its missing signature was not noticed, and no interim answer. The library's function for numbers goes by the name as well; a test showed that.

Change: statusClassOf() divides the number.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -184,14 +184,16 @@
 void HttpExchange::answerComplete()
 {
     HttpResponse response = this->parser->release();
-    const bool isInterim = http::to_status_class(response.result()) == http::status_class::informational;
+    if (!hasUsableStatus(response))
+        return this->finish(HttpExchangeResult::Broken, std::nullopt);
+    const bool isFinal = !isInterim(response);
     const bool isOwn = !this->options.isAnswerToRequest || this->options.isAnswerToRequest(response);
-    if (!isInterim && isOwn)
+    if (isFinal && isOwn)
         return this->finish(HttpExchangeResult::Answered, std::move(response));
     const bool isConnectionOver = !this->connection->socket.is_open() || response.need_eof();
-    if (!isInterim && isConnectionOver)
+    if (isFinal && isConnectionOver)
         return this->finish(HttpExchangeResult::Broken, std::nullopt);
-    this->hasSkippedAnswer = this->hasSkippedAnswer || !isInterim;
+    this->hasSkippedAnswer = this->hasSkippedAnswer || isFinal;
     this->resetParser();
     this->parse();
 }
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -56,10 +56,10 @@
     return bytes;
 }
 
-bool mayHaveBody(http::status status)
+bool mayHaveBody(const HttpResponse& response)
 {
-    return status != http::status::no_content && status != http::status::not_modified
-        && http::to_status_class(status) != http::status_class::informational;
+    return response.result() != http::status::no_content && response.result() != http::status::not_modified
+        && statusClassOf(response) != http::status_class::informational;
 }
 
 }
@@ -75,6 +75,37 @@
     fields.set(viewOf(name), viewOf(value));
 }
 
+http::status_class statusClassOf(const HttpResponse& response)
+{
+    constexpr unsigned perClass = 100;
+    switch (response.result_int() / perClass) {
+    case 1:
+        return http::status_class::informational;
+    case 2:
+        return http::status_class::successful;
+    case 3:
+        return http::status_class::redirection;
+    case 4:
+        return http::status_class::client_error;
+    case 5:
+        return http::status_class::server_error;
+    default:
+        return http::status_class::unknown;
+    }
+}
+
+bool isInterim(const HttpResponse& response)
+{
+    return statusClassOf(response) == http::status_class::informational
+        && response.result() != http::status::switching_protocols;
+}
+
+bool hasUsableStatus(const HttpResponse& response)
+{
+    return statusClassOf(response) != http::status_class::unknown
+        && response.result() != http::status::switching_protocols;
+}
+
 bool isHopByHopField(http::field name)
 {
     return std::find(HopByHopFields.begin(), HopByHopFields.end(), name) != HopByHopFields.end();
@@ -105,7 +136,7 @@
 
 std::string encode(HttpResponse response, bool isAnswerToHead)
 {
-    if (mayHaveBody(response.result()))
+    if (mayHaveBody(response))
         response.content_length(response.body().size());
     else
         response.body().clear();
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -17,6 +17,16 @@
 std::string_view valueOf(const HttpFields& fields, std::string_view name);
 void setField(HttpFields& fields, std::string_view name, std::string_view value);
 
+/** The class of the answer's status by its number; the library's functions know only statuses that have a name. */
+boost::beast::http::status_class statusClassOf(const HttpResponse& response);
+/** Returns true for an answer that announces a further one to the same request. */
+bool isInterim(const HttpResponse& response);
+/**
+ * Returns false for a status that no server may send in answer to a request of ours: of no class, or a change to
+ * another protocol, which we never ask for.
+ */
+bool hasUsableStatus(const HttpResponse& response);
+
 /** Returns true for hop-by-hop fields, which are not forwarded. */
 bool isHopByHopField(boost::beast::http::field name);
 /** Removes all hop-by-hop fields, including those named by the field Connection. */
--- a/Tests/Platform/HeaderDialectTest.cpp
+++ b/Tests/Platform/HeaderDialectTest.cpp
@@ -31,6 +31,9 @@
     { "a success without id", 200, { { "Server-Signature", "s" } }, AttemptResult::Broken, false },
     { "an encoded success", 200, { { "Request-Id", "r" }, { "Server-Signature", "s" }, { "Content-Encoding", "gzip" } },
         AttemptResult::Broken, false },
+    { "a success with a status without a name", 299, Whole, AttemptResult::Answered, false },
+    { "a success with a status without a name, without signature", 299, { { "Request-Id", "r" } },
+        AttemptResult::Broken, false },
     { "503 with proof", 503, { { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
     { "429 with proof", 429, { { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
     { "421 of another server", 421, { { "Instance-Id", "i-other" } }, AttemptResult::OtherServer, false },
@@ -90,7 +93,8 @@
 
 HttpResponse response(unsigned status, const Fields& fields)
 {
-    HttpResponse made(http::int_to_status(status), 11);
+    HttpResponse made(http::status::ok, 11);
+    made.result(status);
     for (const auto& [name, value] : fields)
         setField(made, name, value);
     return made;
--- a/Tests/Platform/LoopbackInstance.cpp
+++ b/Tests/Platform/LoopbackInstance.cpp
@@ -13,9 +13,12 @@
 
 constexpr const char* Configuration = R"({"version":"00000001",
     "routes":{"r":{"host":"x.example","path_prefix":"/a/","type":"safe","timeout":"4000ms","target_latency":"1500ms",
+        "priority":0,"service":"s","max_attempts":3},
+        "u":{"host":"x.example","path_prefix":"/once/","type":"unsafe","timeout":"4000ms","target_latency":"1500ms",
         "priority":0,"service":"s","max_attempts":3}},
     "services":{"s":{"health_check_path":"/health","max_connections":100}}})";
 constexpr Milliseconds Step{ 1 };
+constexpr Milliseconds UsualPatience{ 2500 };
 
 Node::Options nodeOptions()
 {
@@ -113,17 +116,27 @@
 
 CallerAnswer LoopbackInstance::call()
 {
-    constexpr Milliseconds patience{ 2500 };
-    return this->call(patience);
+    return this->call(UsualPatience);
 }
 
 CallerAnswer LoopbackInstance::call(Milliseconds patience)
+{
+    return this->send("GET /a/b", patience);
+}
+
+CallerAnswer LoopbackInstance::callRunOnce()
+{
+    return this->send("POST /once/b", UsualPatience);
+}
+
+CallerAnswer LoopbackInstance::send(const std::string& firstLine, Milliseconds patience)
 {
     constexpr std::size_t statusAt = 9; // position after "HTTP/1.1 "
     asio::ip::tcp::socket socket(*this->context);
     socket.connect({ asio::ip::address_v4::loopback(), this->port });
     asio::write(socket,
-        asio::buffer("GET /a/b HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 2000\r\nRequest-Id: r"
+        asio::buffer(firstLine
+            + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\nRequest-Id: r"
             + std::to_string(++this->calls) + "\r\n\r\n"));
     socket.non_blocking(true);
     const Milliseconds start = this->clock.now();
--- a/Tests/Platform/LoopbackInstance.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -39,6 +39,8 @@
     CallerAnswer call();
     /** Sends a request and waits for its answer for up to this long. */
     CallerAnswer call(Milliseconds patience);
+    /** Sends a request that must run at most once and waits for its answer for up to 2.5 s. */
+    CallerAnswer callRunOnce();
     /** Runs the instance for this long. */
     void runFor(Milliseconds duration);
     const Node& decisions() const { return this->node; }
@@ -46,6 +48,8 @@
     std::string stateOf(const std::string& id) const;
 
 private:
+    /** Sends a request with this first line and waits for its answer for up to this long. */
+    CallerAnswer send(const std::string& firstLine, Milliseconds patience);
     /** Passes an item of the store to Node, as a push of another instance. */
     void putItem(const std::string& key, const std::string& value, bool isRemoved);
 
