A connection is not used twice for the same request id

A full server refused it and sent a second copy of the refusal late, where the next answer on the connection was due. The next try went out on that connection, took the copy for its answer and was sent once more while the server ran it.

Cause: answers are told apart by the request's id, which all tries of a request share, and the pool gave a later try the connection of an earlier one. Ruled out: bytes kept from the first answer (such a connection is not returned, and the pool looks for unread bytes); answers of another server (the copy came on the request's own connection).

Change: a connection remembers the hashes of the ids that it carried, and HttpConnectionPool::take passes over it for these.

The calls of take() in earlier tests have the new form of its parameters.

--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -2,10 +2,10 @@
 
 #include "Base/Milliseconds.h"
 
-#include <array>
 #include <asio/ip/tcp.hpp>
-#include <memory>
-#include <string>
+#include <cstdint>
+#include <string_view>
+#include <vector>
 
 namespace burlreach {
 
@@ -19,7 +19,12 @@
     asio::ip::tcp::socket socket;
     Milliseconds lastUsed; // time at which the last exchange ended
     Milliseconds keepAliveTimeout{ 4000 }; // idle time after which the server may close the connection
+    std::vector<std::uint64_t> carriedIds; // hashes of the ids of all requests sent on it
     unsigned exchanges = 0;
+
+    /** Records the id of a request that was sent; an empty id is not recorded. */
+    void noteCarried(std::string_view requestId);
+    bool hasCarried(std::string_view requestId) const;
 };
 
 /** Returns true if the server has neither closed an idle connection nor sent anything on it. */
--- a/Source/Http/HttpConnectionPool.cpp
+++ b/Source/Http/HttpConnectionPool.cpp
@@ -16,17 +16,19 @@
     return this->clock->now() - connection.lastUsed <= connection.keepAliveTimeout * this->options.reusableShare;
 }
 
-std::shared_ptr<HttpConnection> HttpConnectionPool::take(const std::string& server, Milliseconds longestIdle)
+std::shared_ptr<HttpConnection> HttpConnectionPool::take(const std::string& server, const Need& need)
 {
     const auto found = this->idle.find(server);
     if (found == this->idle.end())
         return nullptr;
     auto& connections = found->second;
-    while (!connections.empty()) {
-        if (this->clock->now() - connections.back()->lastUsed > longestIdle)
+    for (std::size_t index = connections.size(); index-- > 0;) {
+        if (this->clock->now() - connections[index]->lastUsed > need.longestIdle)
             return nullptr; // the others have been idle even longer
-        std::shared_ptr<HttpConnection> connection = std::move(connections.back());
-        connections.pop_back();
+        if (connections[index]->hasCarried(need.requestId))
+            continue;
+        std::shared_ptr<HttpConnection> connection = std::move(connections[index]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
         if (this->isUsable(*connection) && isOpenAndSilent(*connection))
             return connection;
     }
@@ -35,6 +37,8 @@
 
 void HttpConnectionPool::add(const std::string& server, std::shared_ptr<HttpConnection> connection)
 {
+    if (connection->exchanges >= this->options.maxExchanges)
+        return;
     auto& connections = this->idle[server];
     connection->lastUsed = this->clock->now();
     connections.push_back(std::move(connection));
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -218,6 +218,7 @@
         if (seconds >= 0)
             this->connection->keepAliveTimeout = { seconds * MillisecondsPerSecond };
         ++this->connection->exchanges;
+        this->connection->noteCarried(this->options.requestId);
         end.connection = std::move(this->connection);
     }
     this->closeConnection();
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -50,6 +50,7 @@
         std::optional<RelayTarget> relay; // connect through this instance; such a connection is used once
         Milliseconds relayTimeout{ 400 }; // in place of connectTimeout, for the connections to and from the relay
         std::string request; // encoded
+        std::string requestId; // by which its connection is kept from later tries of the same request; may be empty
         bool isHeadRequest = false; // a HEAD request; its answer has no body
         Milliseconds connectTimeout{ 250 };
         Milliseconds timeout = Never; // from the start of writing to the end of the answer
--- a/Source/StoreClient/HttpStoreClient.cpp
+++ b/Source/StoreClient/HttpStoreClient.cpp
@@ -40,7 +40,7 @@
     const auto exchange = std::make_shared<HttpExchange>(*this->context, std::move(options),
         [this, request](HttpExchangeEnd end) { this->callEnded(request, std::move(end)); });
     this->callsInFlight[request.number] = exchange;
-    exchange->start(this->connections.take(PoolKey, Never));
+    exchange->start(this->connections.take(PoolKey, {}));
 }
 
 void HttpStoreClient::callEnded(const StoreRequest& request, HttpExchangeEnd end)
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -188,6 +188,7 @@
     if (action.relay)
         exchange.relay = RelayTarget{ .relay = *action.relay, .backendServer = action.backendServer };
     exchange.request = encode(this->makeForwardedRequest(request, action));
+    exchange.requestId = request.requestId;
     exchange.isHeadRequest = request.message.method() == http::verb::head;
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.isAnswerToRequest = [dialect = this->dependencies.dialect, id = request.requestId](
@@ -204,7 +205,9 @@
     started.exchange = std::make_shared<HttpExchange>(*this->context, std::move(exchange),
         [this, number, attempt](HttpExchangeEnd end) { this->attemptEnded(number, attempt, std::move(end)); });
     const Milliseconds longestIdle = action.mayRepeat ? Never : this->options.maxIdleForRunOnce;
-    auto kept = action.relay ? nullptr : this->connections.take(action.backendServer, longestIdle);
+    auto kept = action.relay
+        ? nullptr
+        : this->connections.take(action.backendServer, { .longestIdle = longestIdle, .requestId = request.requestId });
     ++(kept ? this->dependencies.metrics->connectionsReused : this->dependencies.metrics->connectionsOpened);
     started.exchange->start(std::move(kept));
 }
@@ -319,7 +322,7 @@
 
 void RequestForwarder::execute(const SendProbe& action)
 {
-    auto kept = action.relay ? nullptr : this->connections.take(action.probe.backendServer, Never);
+    auto kept = action.relay ? nullptr : this->connections.take(action.probe.backendServer, {});
     ++(kept ? this->dependencies.metrics->connectionsReused : this->dependencies.metrics->connectionsOpened);
     this->startProbe(action, std::move(kept));
 }
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -264,8 +264,46 @@
             asio::write(far, asio::buffer(std::string("late")));
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
-        CHECK((pool.take("s", Never) != nullptr) == !sends);
-        CHECK_TEXT(!pool.take("s", Never), "a connection is taken only once");
+        CHECK((pool.take("s", {}) != nullptr) == !sends);
+        CHECK_TEXT(!pool.take("s", {}), "a connection is taken only once");
+    }
+}
+
+// A surplus copy of an earlier answer may still come there, and would be taken for the answer to the next try.
+TEST(HttpExchange, ThePoolKeepsConnectionsFromRequestsThatTheyHaveCarried)
+{
+    const SteadyClock clock;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::vector<asio::ip::tcp::socket> far;
+    HttpConnectionPool pool({}, clock);
+    for (const char* id : { "r", "q" }) {
+        asio::ip::tcp::socket near(context);
+        near.connect(acceptor.local_endpoint());
+        far.push_back(acceptor.accept());
+        near.non_blocking(true);
+        auto connection = std::make_shared<HttpConnection>(std::move(near));
+        connection->noteCarried("");
+        connection->noteCarried(id);
+        pool.add("s", std::move(connection));
+    }
+    const auto other = pool.take("s", { .requestId = "q" });
+    CHECK(other && other->hasCarried("r"));
+    CHECK_TEXT(!pool.take("s", { .requestId = "q" }), "the other one has carried it");
+    CHECK(pool.take("s", {}) != nullptr);
+}
+
+// The ids that a connection remembers would take more and more memory.
+TEST(HttpExchange, ThePoolClosesConnectionsAfterManyExchanges)
+{
+    const SteadyClock clock;
+    asio::io_context context;
+    for (const unsigned exchanges : { 2U, 3U }) {
+        HttpConnectionPool pool({ .maxExchanges = 3 }, clock);
+        auto connection = std::make_shared<HttpConnection>(asio::ip::tcp::socket(context));
+        connection->exchanges = exchanges;
+        pool.add("s", std::move(connection));
+        LONGS_EQUAL(exchanges < 3 ? 1 : 0, pool.size());
     }
 }
 
@@ -282,6 +320,6 @@
     HttpConnectionPool pool({}, clock);
     pool.add("s", std::make_shared<HttpConnection>(std::move(near)));
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    CHECK(!pool.take("s", { 5 }));
-    CHECK(pool.take("s", Never) != nullptr);
+    CHECK(!pool.take("s", { .longestIdle = { 5 } }));
+    CHECK(pool.take("s", {}) != nullptr);
 }
--- a/Tests/Platform/ScriptedServer.cpp
+++ b/Tests/Platform/ScriptedServer.cpp
@@ -22,6 +22,7 @@
     }
 
     asio::ip::tcp::socket socket;
+    std::size_t number = 0;
     asio::streambuf input;
     std::string output;
     bool isOver = false;
@@ -61,7 +62,9 @@
     this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
         if (error)
             return;
-        this->read(std::make_shared<Session>(std::move(socket)));
+        const auto session = std::make_shared<Session>(std::move(socket));
+        session->number = ++this->connectionCount;
+        this->read(session);
         this->accept();
     });
 }
@@ -80,6 +83,7 @@
     std::istream input(&session->input);
     ScriptedRequest request{ .head = { std::istreambuf_iterator<char>(input), {} } };
     request.isProbe = request.head.starts_with("GET /health ");
+    request.connection = session->number;
     ++(request.isProbe ? this->probeCount : this->requestCount);
     session->output = this->script(request);
     if (session->output.ends_with(CloseMark)) {
--- a/Tests/Platform/ScriptedServer.h
+++ b/Tests/Platform/ScriptedServer.h
@@ -17,6 +17,7 @@
 struct ScriptedRequest {
     std::string head; // request line and header fields
     bool isProbe = false;
+    std::size_t connection = 0; // number of the connection, from 1
 
     /** Returns the value of a header field; empty if it is missing. */
     std::string_view field(std::string_view name) const;
@@ -45,6 +46,7 @@
 
     asio::ip::tcp::acceptor acceptor;
     Script script;
+    std::size_t connectionCount = 0;
     std::size_t requestCount = 0;
     std::size_t probeCount = 0;
 };
