An answer without the request's id is no answer of the platform's servers

Callers see: a server's 404 or 500 without signature and id comes through as its answer; a second copy of a health check's refusal, which has no id, is taken for the proof that a run-once request did not run, and the request runs twice. Both shown by tests only.

Cause: isAnswerTo() held an answer without an id for the answer to any request.

Change: TrafficDialect::matchAnswer() tells own answers, answers to other requests and what is no answer. The last ends the exchange when its header is complete, without reading its body or learning from its fields. An answer with an id is none to a health check. attempt_failed names the problem. burlreach's own dialect goes on taking answers without an id.

Tests: rows of SpoiltAnswers (404 without an id reached callers before), of SurplusAnswers (a request ran twice before) and HeaderDialect.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -39,7 +39,8 @@
 
 void HttpExchange::resetParser()
 {
-    this->isHeaderReported = false;
+    this->isHeaderAccepted = false;
+    this->matched = AnswerMatch::Own;
     this->parser.emplace();
     this->parser->eager(true);
     this->parser->skip(this->options.isHeadRequest);
@@ -142,7 +143,7 @@
     // An answer without a length ends with an orderly close, not with a reset.
     if (error == asio::error::eof && this->finishAnswerWithoutLength())
         return this->answerComplete();
-    this->finish(HttpExchangeResult::Broken, std::nullopt);
+    this->finishBroken(AnswerProblem::ConnectionEnded);
 }
 
 bool HttpExchange::finishAnswerWithoutLength()
@@ -160,11 +161,10 @@
         boost::beast::error_code error;
         const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
-        this->reportHeader();
-        if (this->isFinished)
+        if (!this->acceptHeader())
             return;
         if (error && error != http::error::need_more)
-            return this->finish(HttpExchangeResult::Broken, std::nullopt);
+            return this->finishBroken(AnswerProblem::Invalid);
         if (this->parser->is_done())
             return this->answerComplete();
         if (error == http::error::need_more || !used)
@@ -173,26 +173,33 @@
     this->read();
 }
 
-void HttpExchange::reportHeader()
+bool HttpExchange::acceptHeader()
 {
-    if (this->isHeaderReported || !this->options.headerReceived || !this->parser->is_header_done())
-        return;
-    this->isHeaderReported = true;
-    this->options.headerReceived(this->parser->get());
+    if (this->isHeaderAccepted || !this->parser->is_header_done())
+        return true;
+    this->isHeaderAccepted = true;
+    const HttpResponse& header = this->parser->get();
+    if (this->options.match && !isInterim(header))
+        this->matched = this->options.match(header);
+    if (!hasUsableStatus(header) || this->matched == AnswerMatch::NoAnswer) {
+        this->finishBroken(AnswerProblem::NoAnswer);
+        return false;
+    }
+    if (this->options.headerReceived)
+        this->options.headerReceived(header);
+    // The callback may have cancelled the exchange.
+    return !this->isFinished;
 }
 
 void HttpExchange::answerComplete()
 {
     HttpResponse response = this->parser->release();
-    if (!hasUsableStatus(response))
-        return this->finish(HttpExchangeResult::Broken, std::nullopt);
     const bool isFinal = !isInterim(response);
-    const bool isOwn = !this->options.isAnswerToRequest || this->options.isAnswerToRequest(response);
-    if (isFinal && isOwn)
+    if (isFinal && this->matched == AnswerMatch::Own)
         return this->finish(HttpExchangeResult::Answered, std::move(response));
     const bool isConnectionOver = !this->connection->socket.is_open() || response.need_eof();
     if (isFinal && isConnectionOver)
-        return this->finish(HttpExchangeResult::Broken, std::nullopt);
+        return this->finishBroken(AnswerProblem::OtherRequest);
     this->hasSkippedAnswer = this->hasSkippedAnswer || isFinal;
     this->resetParser();
     this->parse();
@@ -204,12 +211,19 @@
         && response.keep_alive() && !response.need_eof();
 }
 
+void HttpExchange::finishBroken(AnswerProblem why)
+{
+    this->problem = why;
+    this->finish(HttpExchangeResult::Broken, std::nullopt);
+}
+
 void HttpExchange::finish(HttpExchangeResult result, std::optional<HttpResponse> response)
 {
     this->isFinished = true;
     this->timer.cancel();
     HttpExchangeEnd end;
     end.result = result;
+    end.problem = this->problem;
     end.isReused = this->isReused;
     end.connectError = this->connectError;
     end.relayReply = this->relayReply;
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -2,6 +2,8 @@
 
 #include "Base/Clock.h"
 #include "Base/NetworkAddress.h"
+#include "Http/AnswerMatch.h"
+#include "Http/AnswerProblem.h"
 #include "Http/HttpConnection.h"
 #include "Http/HttpMessage.h"
 #include "Http/RelayRequest.h"
@@ -28,6 +30,7 @@
 /** How an exchange ended. */
 struct HttpExchangeEnd {
     HttpExchangeResult result = HttpExchangeResult::Broken;
+    AnswerProblem problem = AnswerProblem::None; // why the result is Broken
     std::optional<HttpResponse> response;
     std::shared_ptr<HttpConnection> connection; // may be reused; null: it was closed
     bool isReused = false; // the exchange began on a kept connection
@@ -56,11 +59,14 @@
         Milliseconds timeout = Never; // from the start of writing to the end of the answer
         bool isIdleTimeout = false; // the timeout restarts whenever bytes are received
         std::size_t maxAnswerBytes = 67108864; // bytes of the body
-        /** Returns false for an answer to another request, which is then skipped. Empty: all answers are accepted. */
-        std::function<bool(const HttpResponse&)> isAnswerToRequest;
+        /**
+         * Judges the header of a final answer. One to another request is skipped, no answer ends the exchange at once.
+         * Empty: all answers are accepted.
+         */
+        std::function<AnswerMatch(const HttpResponse&)> match;
         /**
          * Called once for the header of each answer, before its body is complete. Also called for answers that are
-         * skipped or break off later. May be empty.
+         * skipped or break off later, but not for what is no answer. May be empty.
          */
         std::function<void(const HttpResponse&)> headerReceived;
     };
@@ -87,11 +93,13 @@
     void received(const asio::error_code& error, std::size_t size);
     void parse();
     bool finishAnswerWithoutLength();
-    void reportHeader();
+    /** Judges and reports the header once it is complete; false if it ended the exchange. */
+    bool acceptHeader();
     void answerComplete();
     void resetParser();
     void startTimeout(Milliseconds duration, HttpExchangeResult result);
     void finish(HttpExchangeResult result, std::optional<HttpResponse> response);
+    void finishBroken(AnswerProblem problem);
     bool mayReuseConnection(const HttpResponse& response) const;
     void closeConnection();
 
@@ -111,7 +119,9 @@
     std::error_code connectError;
     std::optional<RelayReply> relayReply;
     bool hasSkippedAnswer = false; // an answer to another request was skipped
-    bool isHeaderReported = false; // headerReceived was called for the answer that is being read
+    bool isHeaderAccepted = false; // of the answer that is being read
+    AnswerMatch matched = AnswerMatch::Own; // of the answer that is being read
+    AnswerProblem problem = AnswerProblem::None;
     bool isFinished = false;
 };
 
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -68,7 +68,10 @@
         record.with("relay", flight.relay->host);
     // The server may have crashed while running the request; these fields identify the same request in other records.
     if (end.result == AttemptResult::Broken)
-        record.with("path", request.path).with("caller", request.caller).with("digest", request.digest.text());
+        record.with("problem", end.problem)
+            .with("path", request.path)
+            .with("caller", request.caller)
+            .with("digest", request.digest.text());
     return record;
 }
 
--- a/Source/Routing/AttemptResult.h
+++ b/Source/Routing/AttemptResult.h
@@ -49,6 +49,7 @@
     std::optional<ReportedLoad> load;
     int status = 0; // HTTP status of the answer; 0: no answer
     bool claimsNotRun = false; // the status implies "not run", but the answer does not prove it
+    std::string_view problem; // for log lines: why what came is not the answer; static text
     ConnectOutcome connect = ConnectOutcome::Connected;
 };
 
--- a/Source/Traffic/NativeTrafficDialect.cpp
+++ b/Source/Traffic/NativeTrafficDialect.cpp
@@ -66,10 +66,11 @@
         [field](const char* known) { return boost::beast::iequals(field, known); });
 }
 
-bool NativeTrafficDialect::isAnswerTo(const HttpResponse& response, std::string_view requestId) const
+AnswerMatch NativeTrafficDialect::matchAnswer(const HttpResponse& response, std::string_view requestId) const
 {
+    // Backend servers need not send the id back.
     const std::string_view answeredId = valueOf(response, RequestIdHeader);
-    return answeredId.empty() || answeredId == requestId;
+    return answeredId.empty() || answeredId == requestId ? AnswerMatch::Own : AnswerMatch::OtherRequest;
 }
 
 ServerNotice NativeTrafficDialect::readNotice(const HttpResponse& response, std::string_view) const
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -191,8 +191,8 @@
     exchange.requestId = request.requestId;
     exchange.isHeadRequest = request.message.method() == http::verb::head;
     exchange.connectTimeout = this->options.connectTimeout;
-    exchange.isAnswerToRequest = [dialect = this->dependencies.dialect, id = request.requestId](
-                                     const HttpResponse& response) { return dialect->isAnswerTo(response, id); };
+    exchange.match = [dialect = this->dependencies.dialect, id = request.requestId](
+                         const HttpResponse& header) { return dialect->matchAnswer(header, id); };
     const Milliseconds now = this->dependencies.clock->now();
     exchange.headerReceived
         = [this, server = action.backendServer, life = action.life, now](
@@ -237,6 +237,7 @@
     failed.connect = connectOutcomeOf(end);
     const bool isNotSent = end.result == HttpExchangeResult::NotSent;
     failed.result = isNotSent ? AttemptResult::NotSent : AttemptResult::Broken;
+    failed.problem = nameOf(end.problem);
     if (end.result == HttpExchangeResult::TimedOut)
         failed.result = AttemptResult::TimedOut;
     return failed;
@@ -340,6 +341,9 @@
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
+    // A surplus answer to a request on the same connection is none to the probe.
+    options.match = [dialect = this->dependencies.dialect](
+                        const HttpResponse& header) { return dialect->matchAnswer(header, {}); };
     options.headerReceived
         = [this, server = probe.backendServer, life = probe.life, now = this->dependencies.clock->now()](
               const HttpResponse& header) { this->answerHeaderReceived(server, life, now, header); };
--- a/Source/Traffic/TrafficDialect.h
+++ b/Source/Traffic/TrafficDialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Http/AnswerMatch.h"
 #include "Http/HttpMessage.h"
 #include "Node/Actions.h"
 #include "Routing/ServerNotice.h"
@@ -39,8 +40,11 @@
 
     /** Returns true for answer fields that the dialect defines, whether or not their value is used. */
     virtual bool isKnownAnswerField(std::string_view field) const = 0;
-    /** Returns false if a backend server's answer belongs to another request. */
-    virtual bool isAnswerTo(const HttpResponse& response, std::string_view requestId) const = 0;
+    /**
+     * Judges by its header whether a backend server's answer belongs to this request. The id is empty for probes, whose
+     * answers carry none.
+     */
+    virtual AnswerMatch matchAnswer(const HttpResponse& response, std::string_view requestId) const = 0;
     /** Reads what the server announces in the header of any answer; the notice is empty if another server answered. */
     virtual ServerNotice readNotice(const HttpResponse& response, std::string_view backendServer) const = 0;
     virtual AttemptEnd readAnswer(const HttpResponse& response, std::string_view backendServer) const = 0;
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -109,6 +109,7 @@
     { "after an interim answer", { "HTTP/1.1 100 Continue\r\n\r\n" + Ok }, Answered, "hi", true },
     { "after an interim answer without a name", { "HTTP/1.1 103 x\r\n\r\n" + Ok }, Answered, "hi", true },
     { "a change of protocol", { "HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\n" + Ok }, Broken, "", false },
+    { "no answer, before the own one", { "HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nno" + Ok }, Broken, "", false },
     { "a status of no class", { "HTTP/1.1 600 x\r\nRequest-Id: r\r\nContent-Length: 2\r\n\r\nhi" }, Broken, "", false },
     { "without a length, orderly close", { Unframed, true, false }, Answered, "hi", false },
     { "without a length, reset", { Unframed, false, true }, Broken, "", false },
@@ -124,9 +125,12 @@
     { "no answer", { "" }, HttpExchangeResult::TimedOut, "", false },
 };
 
-bool isOwn(const HttpResponse& response)
+AnswerMatch matchOwn(const HttpResponse& response)
 {
-    return valueOf(response, "Request-Id") == "r";
+    const std::string_view id = valueOf(response, "Request-Id");
+    if (id.empty())
+        return AnswerMatch::NoAnswer;
+    return id == "r" ? AnswerMatch::Own : AnswerMatch::OtherRequest;
 }
 
 }
@@ -145,7 +149,7 @@
             HttpExchange::Options{ .address = server.address(),
                 .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
                 .timeout = { 300 },
-                .isAnswerToRequest = &isOwn },
+                .match = &matchOwn },
             [&](HttpExchangeEnd end) {
                 result = end.result;
                 body = end.response ? end.response->body() : "";
@@ -185,7 +189,7 @@
             .request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
             .connectTimeout = { 10 },
             .timeout = { 2000 },
-            .isAnswerToRequest = &isOwn },
+            .match = &matchOwn },
         [&](const HttpExchangeEnd& end) { result = end.result; });
     asio::post(context, [&] {
         exchange->start(nullptr);
--- a/Tests/Platform/HeaderDialectTest.cpp
+++ b/Tests/Platform/HeaderDialectTest.cpp
@@ -34,10 +34,16 @@
     { "a success with a status without a name", 299, Whole, AttemptResult::Answered, false },
     { "a success with a status without a name, without signature", 299, { { "Request-Id", "r" } },
         AttemptResult::Broken, false },
-    { "503 with proof", 503, { { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
-    { "429 with proof", 429, { { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
-    { "421 of another server", 421, { { "Instance-Id", "i-other" } }, AttemptResult::OtherServer, false },
-    { "421 of the same server", 421, { { "Instance-Id", "i-1" } }, AttemptResult::RefusedNotRun, false },
+    { "503 with proof", 503, { { "Request-Id", "r" }, { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
+    { "429 with proof", 429, { { "Request-Id", "r" }, { "Not-Executed", "1" } }, AttemptResult::RefusedNotRun, false },
+    { "421 of another server", 421, { { "Request-Id", "r" }, { "Instance-Id", "i-other" } }, AttemptResult::OtherServer,
+        false },
+    { "421 of the same server", 421, { { "Request-Id", "r" }, { "Instance-Id", "i-1" } }, AttemptResult::RefusedNotRun,
+        false },
+    { "503 with proof, without id", 503, { { "Not-Executed", "1" } }, AttemptResult::Broken, false },
+    { "421 without id", 421, { { "Instance-Id", "i-other" } }, AttemptResult::Broken, false },
+    { "404 without id", 404, { { "Server-Signature", "s" } }, AttemptResult::Broken, false },
+    { "500 without id", 500, {}, AttemptResult::Broken, false },
     { "503 without proof", 503, Whole, AttemptResult::ErrorAnswer, true },
     { "429 without proof", 429, Whole, AttemptResult::ErrorAnswer, true },
     { "408 without proof", 408, Whole, AttemptResult::ErrorAnswer, true },
@@ -46,6 +52,29 @@
     { "404 of the server", 404, Whole, AttemptResult::Answered, false },
 };
 
+/** An answer and the request to which it is held against; probes have no id. */
+struct MatchCase {
+    const char* name;
+    const char* id;
+    unsigned status;
+    Fields fields;
+    AnswerMatch match;
+};
+
+const std::vector<MatchCase> MatchCases{
+    { "own success", "r", 200, Whole, AnswerMatch::Own },
+    { "own refusal", "r", 503, { { "Request-Id", "r" }, { "Not-Executed", "1" } }, AnswerMatch::Own },
+    { "success of another request", "r", 200, { { "Request-Id", "q" }, { "Server-Signature", "s" } },
+        AnswerMatch::OtherRequest },
+    { "refusal of another request", "r", 503, { { "Request-Id", "q" } }, AnswerMatch::OtherRequest },
+    { "success without a signature", "r", 200, { { "Request-Id", "r" } }, AnswerMatch::NoAnswer },
+    { "refusal without an id", "r", 503, { { "Not-Executed", "1" } }, AnswerMatch::NoAnswer },
+    { "answer to a probe", "r", 200, { { "Instance-Id", "i-1" } }, AnswerMatch::NoAnswer },
+    { "answer to a probe, for a probe", "", 200, { { "Instance-Id", "i-1" } }, AnswerMatch::Own },
+    { "refusal of a probe, for a probe", "", 503, { { "Not-Executed", "1" } }, AnswerMatch::Own },
+    { "answer to a request, for a probe", "", 200, Whole, AnswerMatch::OtherRequest },
+};
+
 /** An answer and the notice that is read from it. */
 struct NoticeCase {
     const char* name;
@@ -151,8 +180,8 @@
 
 TEST(HeaderDialect, DetectsAnswersToOtherRequests)
 {
-    CHECK(this->dialect.isAnswerTo(response(200, { { "Request-Id", "r" } }), "r"));
-    CHECK_FALSE(this->dialect.isAnswerTo(response(200, { { "Request-Id", "q" } }), "r"));
+    for (const MatchCase& item : MatchCases)
+        CHECK_TEXT(this->dialect.matchAnswer(response(item.status, item.fields), item.id) == item.match, item.name);
 }
 
 TEST(HeaderDialect, ReadsReportedLoad)
--- a/Tests/Platform/LeavingNoticesTest.cpp
+++ b/Tests/Platform/LeavingNoticesTest.cpp
@@ -31,9 +31,10 @@
 }
 
 /** An answer whose connection is closed before its body is complete. */
-std::string brokenAnswer(const std::string& fields)
+std::string brokenAnswer(const ScriptedRequest& request, const std::string& fields)
 {
-    return "HTTP/1.1 200 x\r\nContent-Length: 99\r\nServer-Signature: s\r\n" + fields + "\r\nok(close)";
+    const std::string id = "Request-Id: " + std::string(request.field("Request-Id")) + "\r\n";
+    return "HTTP/1.1 200 x\r\nContent-Length: 99\r\nServer-Signature: s\r\n" + id + fields + "\r\nok(close)";
 }
 
 /**
@@ -68,8 +69,8 @@
          return scriptedAnswer(request, 503, std::string(RefusedField) + LeavingFields);
      }),
         1 },
-    { "an answer that breaks off", onlyToRequests([](const ScriptedRequest&) { return brokenAnswer(LeavingFields); }),
-        1 },
+    { "an answer that breaks off",
+        onlyToRequests([](const ScriptedRequest& request) { return brokenAnswer(request, LeavingFields); }), 1 },
     { "a late answer to another request", onlyToRequests([](const ScriptedRequest& request) {
          const std::string late = "HTTP/1.1 200 x\r\nContent-Length: 2\r\nServer-Signature: s\r\nRequest-Id: other\r\n";
          return late + LeavingFields + "\r\nok" + plainAnswer(request);
--- a/Tests/Platform/SurplusAnswersTest.cpp
+++ b/Tests/Platform/SurplusAnswersTest.cpp
@@ -35,12 +35,14 @@
 struct Case {
     const char* name;
     unsigned refusals; // of a request before it runs
+    bool isAnswer; // the surplus answer is one to a request; otherwise the outcome of the next request stays unknown
     std::string fields; // of the surplus answer; "(id)" stands for the id of the last request on the connection
 };
 
 const std::vector<Case> Cases{
-    { "a second copy of a refusal", 1, "Request-Id: (id)\r\nNot-Executed: 1\r\n" },
-    { "second copies of two refusals", 2, "Request-Id: (id)\r\nNot-Executed: 1\r\n" },
+    { "a second copy of a refusal", 1, true, "Request-Id: (id)\r\nNot-Executed: 1\r\n" },
+    { "second copies of two refusals", 2, true, "Request-Id: (id)\r\nNot-Executed: 1\r\n" },
+    { "a copy of a health check's refusal", 1, false, "Not-Executed: 1\r\n" },
 };
 
 /** A server that refuses requests at first, counts the runs of each, and sends one surplus answer per connection. */
@@ -103,16 +105,19 @@
             this->context, [&script](const ScriptedRequest& request) { return script.answer(request); });
         instance.putServer("i-a", server.address());
         std::size_t served = 0;
+        std::size_t unknown = 0;
         for (int request = 0; request < EarlierRequests + TestedRequests; ++request) {
             if (request == EarlierRequests)
                 script.becomeFull();
             const CallerAnswer answer = instance.callRunOnce();
             served += answer.status == 200 ? 1 : 0;
-            CHECK_TEXT(answer.status == 200 || answer.status == 503, item.name);
+            const bool isUnknown = answer.status == 502;
+            CHECK_TEXT(answer.status == 200 || answer.status == 503 || (isUnknown && !item.isAnswer), item.name);
+            unknown += isUnknown ? 1 : 0;
         }
         CHECK_TEXT(served > EarlierRequests, item.name);
         for (const auto& [id, count] : script.runs)
             LONGS_EQUAL_TEXT(1, count, item.name);
-        LONGS_EQUAL_TEXT(served, script.runs.size(), item.name);
+        CHECK_TEXT(served <= script.runs.size() && script.runs.size() <= served + unknown, item.name);
     }
 }
