Bound what an exchange holds of a server's bytes

Cause: what was received of a line that frames a chunk had no limit, bodies had 64 MiB each, and each skipped answer began all limits anew. Ruled out as causes: headers, status lines and bytes behind an answer, which were bounded; callers' bytes and relays, which are bounded by 64 KiB and 8 KiB.

Change: HttpExchange bounds what it holds until it can be parsed, the answers that it skips and all bytes of an exchange; AnswerMemory bounds the bodies of all answers together and drops the largest one without a declared length first, so that large answers still pass. Probes read 64 KiB of body at most. The allocator returns large blocks at once, since it kept as much again. Counter answers_over_limit; attempt_failed names the problem.

--- a/Source/Http/AnswerProblem.cpp
+++ b/Source/Http/AnswerProblem.cpp
@@ -5,10 +5,16 @@
 
 namespace burlreach {
 
+bool isOverLimit(AnswerProblem problem)
+{
+    return problem == AnswerProblem::TooLong || problem == AnswerProblem::TooManyAnswers
+        || problem == AnswerProblem::MemoryFull;
+}
+
 std::string_view nameOf(AnswerProblem problem)
 {
-    static constexpr std::array<std::string_view, 5> Names{ "none", "connection_ended", "invalid", "no_answer",
-        "other_request" };
+    static constexpr std::array<std::string_view, 8> Names{ "none", "connection_ended", "invalid", "no_answer",
+        "other_request", "too_long", "too_many_answers", "memory_full" };
     return Names.at(static_cast<std::size_t>(problem));
 }
 
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -13,9 +13,20 @@
 
 namespace http = boost::beast::http;
 
+/** Also bounds what must be held until it can be parsed: a line that frames a chunk, and the trailer. */
 constexpr std::uint32_t MaxHeaderBytes = 65536;
+/** Bytes besides the body, in headers, the framing of chunks and skipped answers. */
+constexpr std::size_t MaxOtherBytes = 1048576;
+/** A server sends an interim answer or two, and one surplus answer at most before its connection is closed. */
+constexpr unsigned MaxSkippedAnswers = 16;
 constexpr double MillisecondsPerSecond = 1000;
 
+AnswerProblem problemOf(const boost::beast::error_code& error)
+{
+    const bool isTooLong = error == http::error::header_limit || error == http::error::body_limit;
+    return isTooLong ? AnswerProblem::TooLong : AnswerProblem::Invalid;
+}
+
 }
 
 HttpExchange::HttpExchange(asio::io_context& givenContext, Options givenOptions, Completion givenCompletion)
@@ -26,6 +37,27 @@
 {
 }
 
+HttpExchange::~HttpExchange()
+{
+    this->leaveMemory();
+}
+
+void HttpExchange::leaveMemory()
+{
+    if (this->options.memory)
+        this->options.memory->remove(*this);
+}
+
+bool HttpExchange::hasDeclaredLength() const
+{
+    return this->parser && this->parser->is_header_done() && this->parser->content_length().has_value();
+}
+
+void HttpExchange::dropAnswer()
+{
+    this->finishBroken(AnswerProblem::MemoryFull);
+}
+
 void HttpExchange::start(std::shared_ptr<HttpConnection> kept)
 {
     this->resetParser();
@@ -135,6 +167,7 @@
     if (this->isFinished)
         return;
     this->input.append(this->chunk.data(), size);
+    this->receivedBytes += size;
     if (!error) {
         if (this->options.isIdleTimeout)
             this->startTimeout(this->options.timeout, HttpExchangeResult::TimedOut);
@@ -164,7 +197,9 @@
         if (!this->acceptHeader())
             return;
         if (error && error != http::error::need_more)
-            return this->finishBroken(AnswerProblem::Invalid);
+            return this->finishBroken(problemOf(error));
+        if (!this->isWithinLimits())
+            return;
         if (this->parser->is_done())
             return this->answerComplete();
         if (error == http::error::need_more || !used)
@@ -173,6 +208,19 @@
     this->read();
 }
 
+bool HttpExchange::isWithinLimits()
+{
+    const std::size_t mostBytes = this->options.maxAnswerBytes + MaxOtherBytes;
+    if (this->input.size() > MaxHeaderBytes || this->receivedBytes > mostBytes) {
+        this->finishBroken(AnswerProblem::TooLong);
+        return false;
+    }
+    if (this->options.memory)
+        this->options.memory->set(*this, this->parser->get().body().size() + this->input.size());
+    // The memory may have dropped this answer, or another one whose end cancelled this exchange.
+    return !this->isFinished;
+}
+
 bool HttpExchange::acceptHeader()
 {
     if (this->isHeaderAccepted || !this->parser->is_header_done())
@@ -200,6 +248,8 @@
     const bool isConnectionOver = !this->connection->socket.is_open() || response.need_eof();
     if (isFinal && isConnectionOver)
         return this->finishBroken(AnswerProblem::OtherRequest);
+    if (++this->skippedAnswers > MaxSkippedAnswers)
+        return this->finishBroken(AnswerProblem::TooManyAnswers);
     this->hasSkippedAnswer = this->hasSkippedAnswer || isFinal;
     this->resetParser();
     this->parse();
@@ -221,6 +271,7 @@
 {
     this->isFinished = true;
     this->timer.cancel();
+    this->leaveMemory();
     HttpExchangeEnd end;
     end.result = result;
     end.problem = this->problem;
@@ -253,6 +304,7 @@
 {
     this->isFinished = true;
     this->timer.cancel();
+    this->leaveMemory();
     this->closeConnection();
     this->completion = nullptr;
 }
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Base/NetworkAddress.h"
 #include "Http/AnswerMatch.h"
+#include "Http/AnswerMemory.h"
 #include "Http/AnswerProblem.h"
 #include "Http/HttpConnection.h"
 #include "Http/HttpMessage.h"
@@ -45,8 +46,12 @@
  * The connection may be reused only if the request was written whole, the
  * answer had a length or chunks, no answer to another request was skipped and
  * no bytes followed the answer.
+ *
+ * A server may send bytes without end. An exchange bounds what it holds of a
+ * header, of a line that frames a chunk, and of the body, the number of answers
+ * that it skips, and the sum of all bytes; AnswerMemory bounds all bodies together.
  */
-class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>, private AnswerHolder {
 public:
     struct Options {
         NetworkAddress address;
@@ -59,6 +64,7 @@
         Milliseconds timeout = Never; // from the start of writing to the end of the answer
         bool isIdleTimeout = false; // the timeout restarts whenever bytes are received
         std::size_t maxAnswerBytes = 67108864; // bytes of the body
+        std::shared_ptr<AnswerMemory> memory; // bounds the answers of several exchanges; null: no bound
         /**
          * Judges the header of a final answer. One to another request is skipped, no answer ends the exchange at once.
          * Empty: all answers are accepted.
@@ -73,6 +79,9 @@
     using Completion = std::function<void(HttpExchangeEnd)>;
 
     HttpExchange(asio::io_context& context, Options options, Completion completion);
+    ~HttpExchange() override;
+    HttpExchange(const HttpExchange&) = delete;
+    HttpExchange& operator=(const HttpExchange&) = delete;
 
     /** Starts the exchange on this connection, or on a new one if it is null. */
     void start(std::shared_ptr<HttpConnection> kept);
@@ -86,6 +95,8 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    bool hasDeclaredLength() const override;
+    void dropAnswer() override;
     void connect();
     void connected();
     void write();
@@ -96,11 +107,14 @@
     /** Judges and reports the header once it is complete; false if it ended the exchange. */
     bool acceptHeader();
     void answerComplete();
+    /** Checks the limits on received bytes; false if one of them ended the exchange. */
+    bool isWithinLimits();
     void resetParser();
     void startTimeout(Milliseconds duration, HttpExchangeResult result);
     void finish(HttpExchangeResult result, std::optional<HttpResponse> response);
     void finishBroken(AnswerProblem problem);
     bool mayReuseConnection(const HttpResponse& response) const;
+    void leaveMemory();
     void closeConnection();
 
     Options options;
@@ -113,6 +127,8 @@
     static constexpr std::size_t ReadSize = 8192;
     std::array<char, ReadSize> chunk{};
     std::string input; // read, not yet parsed
+    std::size_t receivedBytes = 0;
+    unsigned skippedAnswers = 0; // interim answers, and answers to other requests
     bool isWritingBegun = false;
     bool isWritten = false;
     bool isReused = false;
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -37,11 +37,14 @@
     return { text.data(), text.size() };
 }
 
-/** Returns all bytes that a serializer produces. */
+constexpr std::size_t UsualHeaderBytes = 1024;
+
+/** Returns all bytes that a serializer produces, of which there are about this many. */
 template <typename Serializer>
-std::string serialize(Serializer& serializer)
+std::string serialize(Serializer& serializer, std::size_t expectedBytes)
 {
     std::string bytes;
+    bytes.reserve(expectedBytes);
     boost::beast::error_code error;
     const auto append = [&](boost::beast::error_code&, const auto& buffers) {
         std::size_t size = 0;
@@ -131,7 +134,7 @@
     if (!request.body().empty() || usuallyHasBody)
         request.content_length(request.body().size());
     http::request_serializer<http::string_body> serializer(request);
-    return serialize(serializer);
+    return serialize(serializer, request.body().size() + UsualHeaderBytes);
 }
 
 std::string encode(HttpResponse response, bool isAnswerToHead)
@@ -143,7 +146,7 @@
     if (isAnswerToHead)
         response.body().clear();
     http::response_serializer<http::string_body> serializer(response);
-    return serialize(serializer);
+    return serialize(serializer, response.body().size() + UsualHeaderBytes);
 }
 
 double keepAliveSeconds(const HttpFields& fields)
--- a/Source/Metrics/TrafficMetrics.h
+++ b/Source/Metrics/TrafficMetrics.h
@@ -18,6 +18,8 @@
     std::atomic<std::uint64_t> connectionsOpened{ 0 };
     std::atomic<std::uint64_t> connectionsReused{ 0 };
 
+    std::atomic<std::uint64_t> answersOverLimit{ 0 }; // ended because the server sent too much
+
     std::atomic<std::uint64_t> openRequests{ 0 };
     std::atomic<std::uint64_t> unfinishedAnswers{ 0 }; // counted during a planned stop only
     std::atomic<std::uint64_t> openRelays{ 0 }; // connections relayed for other instances
--- a/Source/Program/Main.cc
+++ b/Source/Program/Main.cc
@@ -1,5 +1,6 @@
 #include "Logging/Logger.h"
 #include "PlatformDialect.h"
+#include "Program/AllocatorSettings.h"
 #include "Program/ControlCommand.h"
 #include "Program/Dialect.h"
 #include "Program/EarlySignals.h"
@@ -57,6 +58,7 @@
 ExitCode serve(const std::string& path)
 {
     holdSignals();
+    releaseLargeBlocksAtOnce();
     SettingsFile file(path);
     const SettingsResult result = checkedSettings(file.read());
     if (!reportFindings(result.findings))
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -16,6 +16,8 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned HttpVersion = 11;
+/** The body of an answer to a probe is not used. */
+constexpr std::size_t MaxProbeAnswerBytes = 65536;
 
 RefusalReason reasonOf(HttpRequestProblem problem)
 {
@@ -46,6 +48,7 @@
     , listener(givenContext, *this, *givenParts.clock)
     , acceptTimer(givenContext)
     , connections({}, *givenParts.clock)
+    , answerMemory(std::make_shared<AnswerMemory>(this->options.maxAnswerMemory))
 {
     this->listener.setLimits(this->options.limits);
     this->listener.setMaxSessions(this->options.maxSessions);
@@ -189,6 +192,7 @@
         exchange.relay = RelayTarget{ .relay = *action.relay, .backendServer = action.backendServer };
     exchange.request = encode(this->makeForwardedRequest(request, action));
     exchange.requestId = request.requestId;
+    exchange.memory = this->answerMemory;
     exchange.isHeadRequest = request.message.method() == http::verb::head;
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.match = [dialect = this->dependencies.dialect, id = request.requestId](
@@ -254,6 +258,7 @@
     event.attempt = attempt;
     event.backendServer = ended.backendServer;
     event.end = this->attemptEndOf(end, ended.backendServer);
+    this->dependencies.metrics->answersOverLimit += isOverLimit(end.problem) ? 1 : 0;
     this->returnConnection(ended.backendServer, end);
     ended.response = std::move(end.response);
     ended.exchange.reset();
@@ -341,6 +346,7 @@
     options.request = encode(std::move(message));
     options.connectTimeout = this->options.connectTimeout;
     options.timeout = probe.timeout;
+    options.maxAnswerBytes = MaxProbeAnswerBytes;
     // A surplus answer to a request on the same connection is none to the probe.
     options.match = [dialect = this->dependencies.dialect](
                         const HttpResponse& header) { return dialect->matchAnswer(header, {}); };
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -46,6 +46,8 @@
         Milliseconds callerCheckInterval{ 20 };
         /** Longest idle time of a kept connection on which a run-once request may be sent. */
         Milliseconds maxIdleForRunOnce{ 1000 };
+        /** For the bodies of all answers while they are received; one answer of the largest size fits. */
+        std::size_t maxAnswerMemory = 67108864;
     };
 
     struct Dependencies {
@@ -128,6 +130,7 @@
     HttpListener listener;
     Timer acceptTimer;
     HttpConnectionPool connections;
+    std::shared_ptr<AnswerMemory> answerMemory;
     UnreadFields unreadFields;
     std::unordered_map<RequestNumber, Request> requests;
     std::unordered_multimap<std::uint64_t, RequestNumber> requestsBySession;
--- a/Tests/Platform/LoopbackInstance.cpp
+++ b/Tests/Platform/LoopbackInstance.cpp
@@ -3,6 +3,7 @@
 #include "Base/ChronoDuration.h"
 #include "KvItemTranslator.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
@@ -131,28 +132,69 @@
 
 CallerAnswer LoopbackInstance::send(const std::string& firstLine, Milliseconds patience)
 {
-    constexpr std::size_t statusAt = 9; // position after "HTTP/1.1 "
-    asio::ip::tcp::socket socket(*this->context);
-    socket.connect({ asio::ip::address_v4::loopback(), this->port });
-    asio::write(socket,
+    return this->sendAll(firstLine, 1, patience, [] {}).front();
+}
+
+/** A connection to the instance on which one request was sent. */
+struct LoopbackInstance::Caller {
+    explicit Caller(asio::io_context& context)
+        : socket(context)
+    {
+    }
+
+    /** Reads what has arrived of the answer; nothing more is read behind its header. */
+    void read(Milliseconds now)
+    {
+        if (this->isDone)
+            return;
+        std::array<char, 4096> bytes{};
+        asio::error_code error;
+        this->answer.text.append(bytes.data(), this->socket.read_some(asio::buffer(bytes), error));
+        this->answer.took = now - this->start;
+        this->isDone = error == asio::error::eof || this->answer.text.find("\r\n\r\n") != std::string::npos;
+    }
+
+    asio::ip::tcp::socket socket;
+    Milliseconds start;
+    CallerAnswer answer;
+    bool isDone = false;
+};
+
+std::unique_ptr<LoopbackInstance::Caller> LoopbackInstance::startCaller(const std::string& firstLine)
+{
+    auto caller = std::make_unique<Caller>(*this->context);
+    caller->socket.connect({ asio::ip::address_v4::loopback(), this->port });
+    asio::write(caller->socket,
         asio::buffer(firstLine
             + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\nRequest-Id: r"
             + std::to_string(++this->calls) + "\r\n\r\n"));
-    socket.non_blocking(true);
+    caller->socket.non_blocking(true);
+    caller->start = this->clock.now();
+    return caller;
+}
+
+std::vector<CallerAnswer> LoopbackInstance::sendAll(
+    const std::string& firstLine, std::size_t count, Milliseconds patience, const std::function<void()>& whileWaiting)
+{
+    constexpr std::size_t statusAt = 9; // position after "HTTP/1.1 "
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (std::size_t caller = 0; caller < count; ++caller)
+        callers.push_back(this->startCaller(firstLine));
     const Milliseconds start = this->clock.now();
-    CallerAnswer answer;
-    while (answer.text.find("\r\n\r\n") == std::string::npos && this->clock.now() - start < patience) {
+    const auto isDone = [](const std::unique_ptr<Caller>& caller) { return caller->isDone; };
+    while (!std::all_of(callers.begin(), callers.end(), isDone) && this->clock.now() - start < patience) {
         this->runFor(Step);
-        std::array<char, 4096> bytes{};
-        asio::error_code error;
-        answer.text.append(bytes.data(), socket.read_some(asio::buffer(bytes), error));
-        if (error == asio::error::eof)
-            break;
+        whileWaiting();
+        for (const auto& caller : callers)
+            caller->read(this->clock.now());
+    }
+    std::vector<CallerAnswer> answers;
+    for (const auto& caller : callers) {
+        if (caller->answer.text.size() > statusAt)
+            caller->answer.status = static_cast<unsigned>(std::stoul(caller->answer.text.substr(statusAt)));
+        answers.push_back(std::move(caller->answer));
     }
-    answer.took = this->clock.now() - start;
-    if (answer.text.size() > statusAt)
-        answer.status = static_cast<unsigned>(std::stoul(answer.text.substr(statusAt)));
-    return answer;
+    return answers;
 }
 
 std::string LoopbackInstance::stateOf(const std::string& id) const
--- a/Tests/Platform/LoopbackInstance.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -7,7 +7,10 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace burlreach {
 
@@ -41,6 +44,12 @@
     CallerAnswer call(Milliseconds patience);
     /** Sends a request that must run at most once and waits for its answer for up to 2.5 s. */
     CallerAnswer callRunOnce();
+    /**
+     * Sends the same request for this many callers at once, each with an id of its own, and waits for all answers for
+     * up to this long. `whileWaiting` is called often meanwhile.
+     */
+    std::vector<CallerAnswer> sendAll(const std::string& firstLine, std::size_t callers, Milliseconds patience,
+        const std::function<void()>& whileWaiting);
     /** Runs the instance for this long. */
     void runFor(Milliseconds duration);
     const Node& decisions() const { return this->node; }
@@ -48,6 +57,9 @@
     std::string stateOf(const std::string& id) const;
 
 private:
+    struct Caller;
+
+    std::unique_ptr<Caller> startCaller(const std::string& firstLine);
     /** Sends a request with this first line and waits for its answer for up to this long. */
     CallerAnswer send(const std::string& firstLine, Milliseconds patience);
     /** Passes an item of the store to Node, as a push of another instance. */
--- a/Tests/Platform/SpoiltAnswersTest.cpp
+++ b/Tests/Platform/SpoiltAnswersTest.cpp
@@ -61,7 +61,7 @@
 
 TEST_GROUP(SpoiltAnswers)
 {
-    asio::io_context context;
+    std::unique_ptr<asio::io_context> context; // must outlive the objects below
     std::unique_ptr<LoopbackInstance> instance;
     std::unique_ptr<ScriptedServer> server; // backend server i-a
     std::unique_ptr<ScriptedServer> other; // backend server i-b, which is sound and reports more load
@@ -72,9 +72,10 @@
         this->instance.reset();
         this->server.reset();
         this->other.reset();
-        this->instance = std::make_unique<LoopbackInstance>(this->context);
+        this->context = std::make_unique<asio::io_context>();
+        this->instance = std::make_unique<LoopbackInstance>(*this->context);
         this->server = std::make_unique<ScriptedServer>(
-            this->context, [item, left = EarlierRequests](const ScriptedRequest& request) mutable {
+            *this->context, [item, left = EarlierRequests](const ScriptedRequest& request) mutable {
                 if (request.isProbe || left-- != 0)
                     return freeAnswer(request);
                 std::string bytes = item.bytes;
@@ -83,7 +84,7 @@
                     bytes.replace(mark, IdMark.size(), request.field("Request-Id"));
                 return item.isFollowedByAnswer ? bytes + freeAnswer(request) : bytes;
             });
-        this->other = std::make_unique<ScriptedServer>(this->context, [](const ScriptedRequest& request) {
+        this->other = std::make_unique<ScriptedServer>(*this->context, [](const ScriptedRequest& request) {
             return scriptedAnswer(request, 200, "Instance-Id: i-b\r\nInstance-Load: 1,0,3,150\r\n");
         });
         this->instance->putServer("i-a", this->server->address());
--- a/Tests/Platform/SurplusAnswersTest.cpp
+++ b/Tests/Platform/SurplusAnswersTest.cpp
@@ -91,18 +91,15 @@
 
 }
 
-TEST_GROUP(SurplusAnswers)
-{
-    asio::io_context context;
-};
+TEST_GROUP(SurplusAnswers){};
 
 TEST(SurplusAnswers, AreNotTakenForTheAnswerToAFurtherTry)
 {
     for (const Case& item : Cases) {
-        LoopbackInstance instance(this->context);
+        asio::io_context context;
+        LoopbackInstance instance(context);
         SurplusServer script(item);
-        ScriptedServer server(
-            this->context, [&script](const ScriptedRequest& request) { return script.answer(request); });
+        ScriptedServer server(context, [&script](const ScriptedRequest& request) { return script.answer(request); });
         instance.putServer("i-a", server.address());
         std::size_t served = 0;
         std::size_t unknown = 0;
