Soak: spoilt answers, long requests, and the memory of instances

Checked besides the usual: no request is cut, and no instance takes more than 260 MB.

EndlessAnswers: a run beside other tests left two connections open after 100 ms at "bytes behind the whole answer". Trace by reading: where those bytes come after the answer was read, the connection is idle in the pool until it expires.

--- a/Tests/Platform/EndlessAnswersTest.cpp
+++ b/Tests/Platform/EndlessAnswersTest.cpp
@@ -28,6 +28,10 @@
 /** Callers give up after 2 s, as their requests say; no answer may last until then. */
 constexpr Milliseconds Patience{ 3000 };
 constexpr Milliseconds LongestExchange{ 1800 };
+/** A broken exchange closes its connection at once; the server's thread notices when it next runs. */
+constexpr Milliseconds ClosedWithin{ 1000 };
+/** If the bytes behind a whole answer come only after it was read, its connection is idle until it expires. */
+constexpr Milliseconds IdleTime{ 4000 };
 
 /** The sanitizers' allocators keep freed memory, and programs are several times slower with them. */
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
@@ -106,6 +110,18 @@
         this->instance->putServer("i-b", this->sound->address());
     }
 
+    /** Waits until the endless server's connections are closed, for up to this long. */
+    std::size_t openAnswersAfter(Milliseconds longest)
+    {
+        const SteadyClock clock;
+        const Milliseconds end = clock.now() + longest;
+        while (this->endless->openAnswers() && clock.now() < end) {
+            this->instance->runFor({ 10 });
+            this->instance->closeExpiredConnections();
+        }
+        return this->endless->openAnswers();
+    }
+
     void check(const Case& item, const std::string& firstLine)
     {
         this->begin(item);
@@ -128,9 +144,7 @@
         const std::size_t sent = this->endless->requests() + this->sound->requests();
         CHECK_TEXT(!isRunOnce || sent + refused <= Callers, (text + ": ran twice, or refused and ran").c_str());
         CHECK_TEXT(sound >= (isRunOnce ? 1 : Callers / 2), (text + ": served " + std::to_string(sound)).c_str());
-        // The connections to the server are closed, and what it may still send has an end.
-        this->instance->runFor({ 100 });
-        LONGS_EQUAL_TEXT(0, this->endless->openAnswers(), text.c_str());
+        LONGS_EQUAL_TEXT(0, this->openAnswersAfter(item.isAnswered ? IdleTime : ClosedWithin), text.c_str());
         if (isInstrumented)
             return;
         CHECK_TEXT(longest < LongestExchange, (text + ": " + std::to_string(longest.count) + " ms").c_str());
--- a/Tests/Platform/LoopbackInstance.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -50,6 +50,8 @@
      */
     std::vector<CallerAnswer> sendAll(const std::string& firstLine, std::size_t callers, Milliseconds patience,
         const std::function<void()>& whileWaiting);
+    /** As the instance does once a second. */
+    void closeExpiredConnections() { this->desk.runMaintenance(); }
     /** Runs the instance for this long. */
     void runFor(Milliseconds duration);
     const Node& decisions() const { return this->node; }
--- a/Tests/Soak/ChildProcess.cpp
+++ b/Tests/Soak/ChildProcess.cpp
@@ -2,6 +2,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
+#include <string>
+#include <string_view>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -90,6 +93,18 @@
         this->noteEnd(status);
 }
 
+std::size_t ChildProcess::peakMemory() const
+{
+    constexpr std::size_t bytesPerUnit = 1024;
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; this->pid && std::getline(file, line);) {
+        if (line.starts_with(name))
+            return std::stoul(line.substr(name.size())) * bytesPerUnit;
+    }
+    return 0;
+}
+
 bool ChildProcess::isRunning()
 {
     int status = 0;
--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -20,6 +20,8 @@
 
 constexpr double MillisecondsPerSecond = 1000;
 constexpr int CalmSeconds = 2;
+/** The memory that the deployments' instances have. */
+constexpr std::size_t MaxInstanceBytes = 260000000;
 /** A planned stop that is under way may take 10 s of this time. */
 constexpr Milliseconds SettlePatience{ 25000 };
 
@@ -75,7 +77,8 @@
         .instances = options.instances,
         .servers = options.servers,
         .firstPort = options.firstPort,
-        .hasCrashingRequest = hasCrashingRequest(seed) });
+        .hasCrashingRequest = hasCrashingRequest(seed),
+        .hasLongRequests = hasSpoiltAnswers(seed) });
     if (!fleet.start())
         return { "the fleet did not start" };
     const std::vector<SoakStep> steps = planOf({ .seed = seed,
@@ -102,8 +105,10 @@
     checker.checkAllAnswered(afterwards);
     checker.checkNothingUnread();
     const RetryCount retries = checker.checkRetries(SoakFleet::retryLimits());
-    if (isPlannedOnly(seed))
+    if (isPlannedOnly(seed) || hasSpoiltAnswers(seed))
         checker.checkNothingCut(told);
+    if (fleet.peakMemory() > MaxInstanceBytes)
+        checker.note("an instance took " + std::to_string(fleet.peakMemory()) + " bytes of memory");
     if (hasServerWords(seed))
         checker.checkWords();
     if (fleet.crashes()) {
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -2,8 +2,11 @@
 
 #include "Base/ChronoDuration.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace burlreach {
@@ -91,6 +94,10 @@
         }
         if (this->hasLost)
             return this->reset();
+        if (&way == &this->forward && !this->surplus.empty())
+            return this->sendBefore(way, size, std::exchange(this->surplus, {}));
+        if (&way == &this->back && this->spoil(fault, size))
+            return;
         if (fault != ProxyFault::Delay)
             return this->write(way, size);
         way.timer.expires_after(toDuration(this->proxy->options.delay));
@@ -98,6 +105,57 @@
             [self = this->shared_from_this(), &way, size](const asio::error_code&) { self->write(way, size); });
     }
 
+    /** Applies the faults that change the server's bytes; true if the bytes are dealt with. */
+    bool spoil(ProxyFault fault, std::size_t size)
+    {
+        static constexpr std::string_view interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        static constexpr std::string_view idField = "Burlreach-Request-Id: ";
+        const std::string_view bytes(this->back.piece.data(), size);
+        // Answers to probes have no id, so that a copy of one could not be told from an answer to a request.
+        if (bytes.find(idField) == std::string_view::npos || !bytes.starts_with("HTTP/"))
+            return false;
+        if (fault == ProxyFault::Repeat)
+            this->surplus = bytes;
+        if (fault == ProxyFault::Interim)
+            this->sendBefore(this->back, size, std::string(interim));
+        if (fault == ProxyFault::Endless)
+            this->sendEndlessly();
+        return fault == ProxyFault::Interim || fault == ProxyFault::Endless;
+    }
+
+    /** Sends these bytes to the client, then passes on what has been read. */
+    void sendBefore(Direction& way, std::size_t size, std::string bytes)
+    {
+        const auto sent = std::make_shared<std::string>(std::move(bytes));
+        asio::async_write(this->client, asio::buffer(*sent),
+            [self = this->shared_from_this(), &way, size, sent](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return self->reset();
+                self->write(way, size);
+            });
+    }
+
+    void sendEndlessly()
+    {
+        static constexpr std::array<std::string_view, 3> beginnings{
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 500 x\r\n\r\n", "HTTP/1.1 200 "
+        };
+        const std::string_view beginning = beginnings[this->proxy->endlessAnswers++ % beginnings.size()];
+        std::fill(this->back.piece.begin(), this->back.piece.end(), '0');
+        asio::async_write(this->client, asio::buffer(beginning),
+            [self = this->shared_from_this()](
+                const asio::error_code& error, std::size_t) { self->continueEndlessly(error); });
+    }
+
+    void continueEndlessly(const asio::error_code& error)
+    {
+        if (error)
+            return this->reset();
+        asio::async_write(this->client, asio::buffer(this->back.piece),
+            [self = this->shared_from_this()](
+                const asio::error_code& failure, std::size_t) { self->continueEndlessly(failure); });
+    }
+
     void write(Direction& way, std::size_t size)
     {
         asio::async_write(*way.to, asio::buffer(way.piece, size),
@@ -114,6 +172,7 @@
     Direction forward;
     Direction back;
     bool hasLost = false;
+    std::string surplus; // a copy of the last answer, not yet sent
 };
 
 LoopbackProxy::LoopbackProxy(asio::io_context& givenContext, Options givenOptions)
--- a/Tests/Soak/LoopbackProxy.h
+++ b/Tests/Soak/LoopbackProxy.h
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -21,7 +22,10 @@
     SilentForward, // bytes from the client are discarded
     SilentBack, // bytes from the server are discarded
     Silent, // bytes in both directions are discarded
-    Refuse // open connections are reset, new ones closed at once
+    Refuse, // open connections are reset, new ones closed at once
+    Interim, // an interim answer is sent before the server's bytes
+    Repeat, // a second copy of an answer with a request id is sent when the client's next bytes come
+    Endless // bytes without end are sent in place of the server's
 };
 
 /**
@@ -53,6 +57,7 @@
     asio::ip::tcp::acceptor acceptor;
     std::atomic<ProxyFault> fault{ ProxyFault::None };
     std::list<std::weak_ptr<Relay>> relays;
+    std::size_t endlessAnswers = 0;
 };
 
 }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -170,7 +170,7 @@
                 { "peers", local(this->port(Part::Peers, index)) } } },
         { "store", { { "address", local(this->port(Part::StoreProxy, index)) } } },
         { "seeds", seeds },
-        { "stop", { { "bound", "10s" }, { "readinessLead", "300ms" } } },
+        { "stop", { { "bound", this->options.hasLongRequests ? "4s" : "10s" }, { "readinessLead", "300ms" } } },
         { "retries",
             { { "share", retries.share }, { "slack", static_cast<int>(retries.slack) },
                 { "window", std::to_string(static_cast<int>(retries.window.count)) + "ms" } } },
@@ -299,6 +299,7 @@
         this->crashingLoad->tend();
     this->newLives.tend();
     for (Instance& instance : this->instances) {
+        this->mostMemory = std::max(this->mostMemory, instance.process->peakMemory());
         if (!instance.isStopping || instance.process->isRunning())
             continue;
         instance.isStopping = false;
@@ -406,6 +407,12 @@
         return server.proxy->reset();
     case SoakFault::ChangeConfiguration:
         return this->changeConfiguration(index);
+    case SoakFault::ServerSendsInterim:
+        return server.proxy->setFault(ProxyFault::Interim);
+    case SoakFault::ServerRepeatsAnswers:
+        return server.proxy->setFault(ProxyFault::Repeat);
+    case SoakFault::ServerSendsEndlessly:
+        return server.proxy->setFault(ProxyFault::Endless);
     case SoakFault::Count:
         return;
     }
@@ -451,6 +458,9 @@
     case SoakFault::SilenceServer:
     case SoakFault::SilenceServerBack:
     case SoakFault::DelayServer:
+    case SoakFault::ServerSendsInterim:
+    case SoakFault::ServerRepeatsAnswers:
+    case SoakFault::ServerSendsEndlessly:
         return server.proxy->setFault(ProxyFault::None);
     case SoakFault::StopInstance: // tend() restarts the instance
     case SoakFault::ReloadInstance:
@@ -485,13 +495,18 @@
 std::unique_ptr<ChildProcess> SoakFleet::startCallers(const std::string& name, int seconds, std::uint64_t seed) const
 {
     std::vector<std::string> command{ this->options.build + "/StandIns/CallerStandIn", "--prefix",
-        name + "-" + std::to_string(seed), "--sessions", "8", "--pipelined-sessions", "3", "--seconds",
-        std::to_string(seconds), "--booking-percent", "50", "--pause-milliseconds", "4", "--output",
-        this->pathOf(name + ".json") };
+        name + "-" + std::to_string(seed), "--sessions", "8", "--pipelined-sessions",
+        this->options.hasLongRequests ? "0" : "3", "--seconds", std::to_string(seconds), "--booking-percent", "50",
+        "--pause-milliseconds", "4", "--output", this->pathOf(name + ".json") };
     for (std::size_t index = 0; index < this->instances.size(); ++index) {
         command.emplace_back("--port");
         command.push_back(std::to_string(this->port(Part::CallersProxy, index)));
     }
+    if (this->options.hasLongRequests) {
+        // A request of 2.2 s that is sent more than 1.4 s into a stop of 3.8 s outlasts it.
+        command.insert(
+            command.end(), { "--long-percent", "3", "--long-milliseconds", "2200", "--deadline-milliseconds", "2500" });
+    }
     auto callers = this->program(name, std::move(command));
     callers->start();
     callers->expectEnd();
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -30,6 +30,8 @@
         std::size_t servers = 4;
         std::uint16_t firstPort = 21000;
         bool hasCrashingRequest = false; // runs a CrashingLoad, with instances that can be suspended
+        /** Some requests take longer than a stop leaves them at its end, and all requests carry ids. */
+        bool hasLongRequests = false;
     };
 
     explicit SoakFleet(const Options& options);
@@ -64,6 +66,8 @@
     std::size_t instanceCount() const { return this->options.instances; }
     /** Names of programs that ended unexpectedly or with a failure. */
     std::vector<std::string> failures();
+    /** The most memory in bytes that an instance has held, as seen at each call of tend(). */
+    std::size_t peakMemory() const { return this->mostMemory; }
 
 private:
     struct Instance {
@@ -124,6 +128,7 @@
     std::vector<Server> backendServers;
     std::unique_ptr<ChildProcess> change; // the running configuration change
     NewLives newLives;
+    std::size_t mostMemory = 0;
     std::unique_ptr<CrashingLoad> crashingLoad;
 };
 
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -14,12 +14,14 @@
     "reload-instance", "reset-callers", "cut-store", "cut-store-one-way", "refuse-store", "store-down", "store-slow",
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
     "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
-    "suspend-instance", "server-asks-pause", "server-names-limit" };
+    "suspend-instance", "server-asks-pause", "server-names-limit", "server-sends-interim", "server-repeats-answers",
+    "server-sends-endlessly" };
 /** Number of faults from which seeds below FirstSeedWithCrashes draw; their plans must stay reproducible. */
 constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
 constexpr std::uint64_t FirstSeedWithCrashes = 1000;
 constexpr std::uint64_t FirstSeedWithWords = 2000;
 constexpr std::uint64_t FirstSeedWithLimits = 3000;
+constexpr std::uint64_t FirstSeedWithSpoiltAnswers = 20000;
 /** Share of the faults that are reported limits. */
 constexpr double LimitShare = 0.5;
 /** Excludes faults that restart or pause instances, since such an instance may not have received a notice. */
@@ -30,6 +32,10 @@
 constexpr std::array<SoakFault, 8> BesideCrashes{ SoakFault::SuspendInstance, SoakFault::SuspendInstance,
     SoakFault::KillServer, SoakFault::PauseServer, SoakFault::ServerSheds, SoakFault::ServerCutsAnswers,
     SoakFault::ReloadInstance, SoakFault::ChangeConfiguration };
+/** Nothing that ends or pauses an instance or a server before its time: no request may be cut. */
+constexpr std::array<SoakFault, 8> BesideSpoiltAnswers{ SoakFault::StopInstance, SoakFault::StopInstance,
+    SoakFault::ServerRepeatsAnswers, SoakFault::ServerRepeatsAnswers, SoakFault::ServerSendsInterim,
+    SoakFault::ServerSendsEndlessly, SoakFault::ServerSheds, SoakFault::ChangeConfiguration };
 constexpr std::array<SoakFault, 4> Planned{ SoakFault::StopInstance, SoakFault::ReloadInstance,
     SoakFault::ChangeConfiguration, SoakFault::LeavingServer };
 
@@ -44,6 +50,8 @@
 
 SoakFault drawFault(std::uint64_t seed, Random& random)
 {
+    if (hasSpoiltAnswers(seed))
+        return BesideSpoiltAnswers[random.below(BesideSpoiltAnswers.size())];
     if (hasNamedLimits(seed) && random.unit() < LimitShare)
         return SoakFault::ServerNamesLimit;
     if (hasServerWords(seed))
@@ -68,17 +76,22 @@
 
 bool hasCrashingRequest(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithCrashes && !hasServerWords(seed);
+    return seed >= FirstSeedWithCrashes && !hasServerWords(seed) && !hasSpoiltAnswers(seed);
 }
 
 bool hasServerWords(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithWords;
+    return seed >= FirstSeedWithWords && !hasSpoiltAnswers(seed);
 }
 
 bool hasNamedLimits(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithLimits;
+    return seed >= FirstSeedWithLimits && !hasSpoiltAnswers(seed);
+}
+
+bool hasSpoiltAnswers(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithSpoiltAnswers;
 }
 
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -36,6 +36,9 @@
     SuspendInstance, // on resumption its clock has advanced, its timers have not
     ServerAsksPause, // the server refuses requests and asks for a pause
     ServerNamesLimit, // the server reports a limit in requests per second from all instances together
+    ServerSendsInterim, // an interim answer without a name comes before each answer
+    ServerRepeatsAnswers, // a second copy of each answer comes late, where the next answer on the connection is due
+    ServerSendsEndlessly, // bytes without end come in place of answers
     Count
 };
 
@@ -68,6 +71,12 @@
 /** True for a run in which servers also report limits. */
 bool hasNamedLimits(std::uint64_t seed);
 
+/**
+ * True for a run in which servers send surplus, interim and endless bytes, some requests take long, and instances are
+ * stopped; no request may be cut.
+ */
+bool hasSpoiltAnswers(std::uint64_t seed);
+
 /** The steps of a seed, in order of time; steps may overlap, and the same fault may repeat in quick succession. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
--- a/Tests/StandIns/BackendServerStandIn.cc
+++ b/Tests/StandIns/BackendServerStandIn.cc
@@ -95,11 +95,12 @@
         this->changed.notify_all();
     }
 
-    void work()
+    void work(const httplib::Request& request)
     {
         const double factor = this->isFault("slow") ? 10 : 1;
-        std::this_thread::sleep_for(
-            std::chrono::duration<double, std::milli>(this->options.serviceMilliseconds * factor));
+        const std::string asked = request.get_header_value("Work-Milliseconds");
+        const double usual = asked.empty() ? this->options.serviceMilliseconds : std::stod(asked);
+        std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(usual * factor));
     }
 
     bool isFault(const char* name)
@@ -135,6 +136,8 @@
         if (this->isFault("ask-pause") || !this->enter()) {
             response.status = StatusUnavailable;
             response.set_header("Burlreach-Not-Run", "1");
+            if (!requestId.empty())
+                response.set_header(RequestIdHeader, requestId);
             this->addLoad(response);
             return;
         }
@@ -148,7 +151,7 @@
         const bool crashes = request.has_header("Crash");
         if (crashes)
             this->note(this->journalFile, "arrived", requestId);
-        this->work();
+        this->work(request);
         if (crashes) {
             this->note(this->journalFile, "crashed", requestId);
             std::raise(SIGKILL);
--- a/Tests/StandIns/CallerStandIn.cc
+++ b/Tests/StandIns/CallerStandIn.cc
@@ -34,6 +34,9 @@
     int bookingPercent = 20;
     double pauseMilliseconds = 0;
     int seconds = 0;
+    int longPercent = 0; // percentage of requests that take long
+    int longMilliseconds = 0;
+    int deadlineMilliseconds = 0; // 0: requests carry no deadline and searches no id
     std::string output; // path of a file; empty: standard output
 };
 
@@ -156,9 +159,14 @@
     {
         httplib::Headers headers{ { "Host", this->options.host }, { "Echo", id },
             { "Entry", std::to_string(this->portOf(session.turn)) } };
+        if (isBooking || this->options.deadlineMilliseconds)
+            headers.emplace("Burlreach-Request-Id", id);
+        if (this->options.deadlineMilliseconds)
+            headers.emplace("Burlreach-Deadline-Milliseconds", std::to_string(this->options.deadlineMilliseconds));
+        if (static_cast<int>(std::hash<std::string>()(id) % 100) < this->options.longPercent)
+            headers.emplace("Work-Milliseconds", std::to_string(this->options.longMilliseconds));
         if (!isBooking)
             return session.client->Get("/search?from=a&to=b", headers);
-        headers.emplace("Burlreach-Request-Id", id);
         return session.client->Post("/bookings", headers, std::string(200, 'x'), "application/json");
     }
 
@@ -255,6 +263,10 @@
     program.add_option("--seconds", options.seconds, "Send for this many seconds instead of a number of requests");
     program.add_option("--booking-percent", options.bookingPercent, "Percentage of bookings among the requests");
     program.add_option("--pause-milliseconds", options.pauseMilliseconds, "Pause between two requests of a session");
+    program.add_option("--long-percent", options.longPercent, "Percentage of requests that take long");
+    program.add_option("--long-milliseconds", options.longMilliseconds, "Processing time of these requests");
+    program.add_option("--deadline-milliseconds", options.deadlineMilliseconds,
+        "Deadline sent with each request; all requests then carry an id");
     program.add_option("--output", options.output, "File for the result; standard output if absent");
     CLI11_PARSE(program, argc, argv);
     Tally tally = CallerStandIn(options).run();
