A stopping instance goes by the longest recent times of a route

Cause: only the time that a request may take was asked for, not what its route has shown.

Change: RecentMaximum keeps the longest attempt of each route in the last one or two minutes. A request is sent if twice that is left, of whatever kind. With fewer than 100 attempts nothing is concluded.

Ruled out: a multiple of the mean for run-once requests.

--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -22,6 +22,8 @@
  * stay unknown.
  */
 constexpr double LikelyEndFactor = 4;
+/** Any request is sent if this many times the longest recent time of its route is left. */
+constexpr double LongestTimeFactor = 2;
 
 /** Time for the answer to a permit request, and for the next look at the queue (QueueCheckInterval). */
 constexpr Milliseconds PermitMargin{ 20 };
@@ -117,6 +119,9 @@
 {
     if (request.deadline <= this->stop.answersDue)
         return false;
+    const auto longest = request.service->longestTime(*request.route, now);
+    if (longest && now + *longest * LongestTimeFactor <= this->stop.answersDue)
+        return false;
     const Milliseconds probableEnd = now + request.service->expectedTime(*request.route) * LikelyEndFactor;
     const bool isLikelyToEnd = now < this->stop.noticedBy && probableEnd <= this->stop.answersDue;
     return !isLikelyToEnd || request.route->repeat != Repeat::MayRepeat;
@@ -349,6 +354,8 @@
         server.ended(flight.attempt, ofServer, request.service->expectedTime(*request.route), now));
     if (isProvedNotRun(end.result))
         recordNotRun(request, flight, end);
+    else
+        request.service->addAttemptTime(*request.route, now - flight.sentAt, now);
     if (end.result == AttemptResult::Answered) {
         this->dependencies.limits->answered(server, flight.sentAt, now, actions);
         request.service->addResponseTime(*request.route, now - flight.sentAt);
--- a/Source/Node/ServiceState.cpp
+++ b/Source/Node/ServiceState.cpp
@@ -62,6 +62,17 @@
     addTo(this->meanTimes, route, took);
 }
 
+std::optional<Milliseconds> ServiceState::longestTime(const Route& route, Milliseconds now) const
+{
+    const auto known = this->longestTimes.find(route.name);
+    return known == this->longestTimes.end() ? std::nullopt : known->second.value(now);
+}
+
+void ServiceState::addAttemptTime(const Route& route, Milliseconds took, Milliseconds now)
+{
+    this->longestTimes.try_emplace(route.name, RecentMaximum::Options{}).first->second.add(took, now);
+}
+
 void ServiceState::addUnloadedTime(const Route& route, Milliseconds took)
 {
     addTo(this->unloadedTimes, route, took);
--- a/Source/Node/ServiceState.h
+++ b/Source/Node/ServiceState.h
@@ -6,6 +6,7 @@
 #include "Attempts/RetryBudget.h"
 #include "Base/Random.h"
 #include "Configuration/RoutingConfiguration.h"
+#include "Measurement/RecentMaximum.h"
 #include "Routing/ServicePool.h"
 
 #include <cstddef>
@@ -33,6 +34,9 @@
     /** Mean response time of the route; estimated from its target latency before the first answer. */
     Milliseconds expectedTime(const Route& route) const;
     void addResponseTime(const Route& route, Milliseconds took);
+    /** The longest recent time of an attempt of the route, with or without an answer; nothing if few were made. */
+    std::optional<Milliseconds> longestTime(const Route& route, Milliseconds now) const;
+    void addAttemptTime(const Route& route, Milliseconds took, Milliseconds now);
     /** Mean response time of servers with free slots that were not slow; estimated as above before the first answer. */
     Milliseconds unloadedTime(const Route& route) const;
     void addUnloadedTime(const Route& route, Milliseconds took);
@@ -53,6 +57,7 @@
 private:
     std::unordered_map<std::string, Milliseconds> meanTimes; // by route
     std::unordered_map<std::string, Milliseconds> unloadedTimes; // by route
+    std::unordered_map<std::string, RecentMaximum> longestTimes; // by route
     std::unordered_map<std::string, CallerWaitEstimator> callerPatience; // by route
 };
 
--- a/Tests/Node/StoppingInstanceTest.cpp
+++ b/Tests/Node/StoppingInstanceTest.cpp
@@ -83,6 +83,12 @@
             return this->fleet.send(Stopping, { .method = method, .path = "/bookings", .timeLeft = timeLeft });
         }
 
+        void setFaults(ServerFault fault)
+        {
+            for (const char* server : { "s0", "s1" })
+                this->fleet.server(server).setFault(fault);
+        }
+
         void stop() { this->fleet.stop(Stopping, { .noticedBy = Noticed, .answersDue = Due, .end = End }); }
 
         VirtualFleet fleet;
@@ -119,6 +125,33 @@
         check(item);
 }
 
+// Where the time that a service allows is near the bound of the stop, run-once requests of 2 ms were refused for all of
+// it.
+TEST(StoppingInstance, TakesWhatTheLongestTimesOfTheRouteLeaveRoomFor)
+{
+    constexpr int earlier = 120;
+    for (const bool hadLongOne : { false, true }) {
+        Scenario scenario(1);
+        scenario.setFaults(hadLongOne ? ServerFault::Slow : ServerFault::None);
+        scenario.send("POST", { 9000 });
+        scenario.fleet.run({ 4000 });
+        scenario.setFaults(ServerFault::None);
+        for (int request = 0; request < earlier; ++request) {
+            scenario.send("POST", { 9000 });
+            scenario.fleet.run(Work * 0.5);
+        }
+        scenario.fleet.run(Work * 2);
+        scenario.stop();
+        scenario.fleet.run({ 1800 });
+        const std::uint64_t inTime = scenario.send("POST", { 9000 });
+        scenario.fleet.run({ 1000 });
+        const std::uint64_t late = scenario.send("POST", { 9000 });
+        scenario.fleet.run(End);
+        CHECK(scenario.fleet.callers().at(inTime).outcome == (hadLongOne ? NotRun : Answered));
+        CHECK(scenario.fleet.callers().at(late).outcome == NotRun);
+    }
+}
+
 // The caller's time may be longer than the service allows: then the service's time counts.
 TEST(StoppingInstance, CountsTheTimeThatTheServiceAllows)
 {
@@ -152,8 +185,7 @@
 TEST(StoppingInstance, DoesNotRetryWhatMayOutlastIt)
 {
     Scenario scenario;
-    scenario.fleet.server("s0").setFault(ServerFault::LosesAnswers);
-    scenario.fleet.server("s1").setFault(ServerFault::LosesAnswers);
+    scenario.setFaults(ServerFault::LosesAnswers);
     scenario.stop();
     scenario.fleet.run(Noticed - Milliseconds{ 100 });
     const std::uint64_t number = scenario.send("GET", { 9000 });
