--- a/Source/Measurement/RecentMaximum.cpp
+++ b/Source/Measurement/RecentMaximum.cpp
@@ -4,6 +4,12 @@
 
 namespace burlreach {
 
+namespace {
+
+constexpr double WindowCount = 2;
+
+}
+
 RecentMaximum::RecentMaximum(Options givenOptions)
     : options(givenOptions)
 {
@@ -25,7 +31,7 @@
     std::size_t count = 0;
     Milliseconds longest;
     for (const Window& window : this->windows) {
-        if (now - window.begin >= this->options.window * this->windows.size())
+        if (now - window.begin >= this->options.window * WindowCount)
             continue;
         count += window.count;
         longest = std::max(longest, window.longest);
--- a/Tests/Node/StoppingInstanceTest.cpp
+++ b/Tests/Node/StoppingInstanceTest.cpp
@@ -167,8 +167,10 @@
 TEST(StoppingInstance, RefusesWhatStillWaits)
 {
     Scenario scenario;
+    constexpr std::size_t slots = 6; // of both servers
     std::vector<std::uint64_t> running;
-    for (int request = 0; request < 6; ++request)
+    running.reserve(slots);
+    for (std::size_t request = 0; request < slots; ++request)
         running.push_back(scenario.send("POST", { 2500 }));
     scenario.fleet.run({ 20 });
     const std::uint64_t waiting = scenario.send("POST", { 9000 });
--- a/Tests/Platform/EndlessAnswersTest.cpp
+++ b/Tests/Platform/EndlessAnswersTest.cpp
@@ -111,7 +111,7 @@
     }
 
     /** Waits until the endless server's connections are closed, for up to this long. */
-    std::size_t openAnswersAfter(Milliseconds longest)
+    std::size_t openAnswersAfter(Milliseconds longest) const
     {
         const SteadyClock clock;
         const Milliseconds end = clock.now() + longest;
