Review cases 5 and 7: wait until the instance is in touch

LOST holds for machines in touch, and a machine counts as such once `contact` (3 s) has passed since its start (RULES.md, In touch). Both scripts sent their first requests within a second of it, so their check was stricter than the rule. They wait for `contact` after the instance is ready now.

--- a/review/stand_ins_2/LargeUploads.cc
+++ b/review/stand_ins_2/LargeUploads.cc
@@ -31,6 +31,7 @@
 constexpr std::size_t Bookings = 6;
 constexpr std::size_t Uploads = 3;
 constexpr std::size_t MostCut = 3; // that the rule allows
+constexpr milliseconds Contact{ 3000 }; // of the sites
 constexpr milliseconds WorkTime{ 3000 };
 
 /** Ends a process that uses more memory than its machine allows it, as the platform does. */
@@ -119,6 +120,8 @@
         instance.kill();
         thisCase.end(Verdict::CouldNotRun, "the instance is not ready");
     }
+    // From then on it is in touch, as the rule asks: `contact` has passed since its start.
+    std::this_thread::sleep_for(Contact);
 
     std::vector<std::unique_ptr<Caller>> callers;
     for (std::size_t number = 0; number < Bookings; ++number) {
--- a/review/stand_ins_2/SlowReaders.cc
+++ b/review/stand_ins_2/SlowReaders.cc
@@ -35,6 +35,7 @@
 constexpr double FastBytesPerSecond = 4194304;
 constexpr std::size_t Callers = 5;
 constexpr std::size_t MostCut = 3; // that the rule allows
+constexpr milliseconds Contact{ 3000 }; // of the sites
 constexpr milliseconds BetweenCallers{ 500 };
 /** The work on a large answer, longer than that on the short one behind it. */
 constexpr milliseconds WorkTime{ 500 };
@@ -129,6 +130,8 @@
         instance.kill();
         thisCase.end(Verdict::CouldNotRun, "the instance is not ready");
     }
+    // From then on it is in touch, as the rule asks: `contact` has passed since its start.
+    std::this_thread::sleep_for(Contact);
     std::atomic<std::size_t> cutOff{ 0 };
     std::atomic<std::size_t> unanswered{ 0 };
     std::vector<std::thread> threads;
