--- /dev/null
+++ b/Tests/Crowds/CrowdInstance.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Base/NetworkAddress.h"
+#include "Tests/Soak/ChildProcess.h"
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burlreach {
+
+/** What a process holds at one moment. */
+struct ProcessLoad {
+    std::size_t memoryBytes = 0; // resident memory, and the bytes that have arrived on its connections and are not read
+    std::size_t descriptors = 0;
+};
+
+/** The program as a process of its own, with the platform's dialect, on the loopback interface. */
+class CrowdInstance {
+public:
+    struct Options {
+        std::string program; // path
+        std::string folder; // for settings and log
+        NetworkAddress store;
+        std::size_t sessions = 0; // most callers' connections; 0: the program's default
+        std::size_t descriptors = 0; // that the process may open; 0: as many as this process
+    };
+
+    explicit CrowdInstance(const Options& givenOptions);
+
+    void start();
+    bool isRunning() { return this->process->isRunning(); }
+    /** Whether the instance says that it serves callers. */
+    bool isReady() const;
+    const NetworkAddress& callers() const { return this->callersAddress; }
+    const NetworkAddress& operators() const { return this->operatorsAddress; }
+    const NetworkAddress& peers() const { return this->peersAddress; }
+    const NetworkAddress& readiness() const { return this->readinessAddress; }
+    const NetworkAddress& relay() const { return this->relayAddress; }
+    /** The most resident memory that the process has had. */
+    std::size_t peakMemory() const { return this->process->peakMemory(); }
+    /** What it holds now. Connections to this server's port are its own. */
+    ProcessLoad load(const NetworkAddress& server) const;
+
+private:
+    void writeSettings() const;
+
+    Options options;
+    NetworkAddress callersAddress;
+    NetworkAddress operatorsAddress;
+    NetworkAddress peersAddress;
+    NetworkAddress readinessAddress;
+    NetworkAddress relayAddress;
+    std::unique_ptr<ChildProcess> process;
+};
+
+}
--- a/Tests/Soak/ChildProcess.h
+++ b/Tests/Soak/ChildProcess.h
@@ -36,6 +36,8 @@
     /** Waits until the program has ended. */
     void wait();
     bool isRunning();
+    /** The id of the process; 0 if it does not run. */
+    pid_t number() const { return this->pid; }
     /** The most memory in bytes that the running program has held so far; 0 if it does not run. */
     std::size_t peakMemory() const;
     /** True if the program ended without having been asked to, or with a failure. */
