--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -150,6 +150,9 @@
                 return self->finish(HttpExchangeResult::NotSent, std::nullopt);
             // After any other write error, the server's answer may still be readable.
             self->isWritten = !error;
+            self->isWriteOver = true;
+            if (self->hasConnectionEnded)
+                self->connectionEnded();
         });
     this->read();
 }
@@ -174,15 +177,27 @@
         return this->parse();
     }
     // An answer without a length ends with an orderly close, not with a reset.
-    if (error == asio::error::eof && this->finishAnswerWithoutLength())
+    if (error != asio::error::eof || !this->isAnswerWithoutLength())
+        return this->finishBroken(AnswerProblem::ConnectionEnded);
+    this->hasConnectionEnded = true;
+    if (this->isWriteOver)
+        this->connectionEnded();
+}
+
+void HttpExchange::connectionEnded()
+{
+    if (this->isWritten && this->finishAnswerWithoutLength())
         return this->answerComplete();
     this->finishBroken(AnswerProblem::ConnectionEnded);
 }
 
+bool HttpExchange::isAnswerWithoutLength() const
+{
+    return this->parser->is_header_done() && this->parser->need_eof();
+}
+
 bool HttpExchange::finishAnswerWithoutLength()
 {
-    if (!this->parser->is_header_done() || !this->parser->need_eof())
-        return false;
     boost::beast::error_code error;
     this->parser->put_eof(error);
     return !error && this->parser->is_done();
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -47,6 +47,10 @@
  * answer had a length or chunks, no answer to another request was skipped and
  * no bytes followed the answer.
  *
+ * An answer without a length is whole when its connection ends in order. The
+ * kernel reports a reset once, to the write if one is in progress, so the end
+ * counts only after the request was written without an error.
+ *
  * A server may send bytes without end. An exchange bounds what it holds of a
  * header, of a line that frames a chunk, and of the body, the number of answers
  * that it skips, and the sum of all bytes; AnswerMemory bounds all bodies together.
@@ -103,6 +107,9 @@
     void read();
     void received(const asio::error_code& error, std::size_t size);
     void parse();
+    /** Ends the exchange after an orderly end of the connection, once the request's write has ended too. */
+    void connectionEnded();
+    bool isAnswerWithoutLength() const;
     bool finishAnswerWithoutLength();
     /** Judges and reports the header once it is complete; false if it ended the exchange. */
     bool acceptHeader();
@@ -130,7 +137,9 @@
     std::size_t receivedBytes = 0;
     unsigned skippedAnswers = 0; // interim answers, and answers to other requests
     bool isWritingBegun = false;
+    bool isWriteOver = false; // the write of the request has ended, wholly or with an error
     bool isWritten = false;
+    bool hasConnectionEnded = false;
     bool isReused = false;
     std::error_code connectError;
     std::optional<RelayReply> relayReply;
--- a/Source/Traffic/RelaySession.cpp
+++ b/Source/Traffic/RelaySession.cpp
@@ -128,10 +128,17 @@
             if (failure)
                 return self->end(false);
             self->restartTimer(IdleTimeout);
+            self->isWritingToServer = true;
             asio::async_write(self->server->socket, asio::buffer(self->toServer.buffer.data(), size),
                 [self](const asio::error_code& error, std::size_t) {
+                    self->isWritingToServer = false;
+                    self->hasWriteFailed = self->hasWriteFailed || error;
+                    if (self->isOver)
+                        return;
+                    if (self->hasServerEnded)
+                        return self->serverEnded();
                     // After an error the answer may still be readable: its reader ends the session.
-                    if (!self->isOver && !error)
+                    if (!error)
                         self->fromInstance();
                 });
         });
@@ -143,8 +150,10 @@
         [self = this->shared_from_this()](const asio::error_code& failure, std::size_t size) {
             if (self->isOver)
                 return;
+            if (failure && failure != asio::error::eof)
+                return self->end(true);
             if (failure)
-                return self->end(failure != asio::error::eof);
+                return self->serverEnded();
             self->restartTimer(IdleTimeout);
             asio::async_write(self->instance, asio::buffer(self->toInstance.buffer.data(), size),
                 [self](const asio::error_code& error, std::size_t) {
@@ -157,6 +166,14 @@
         });
 }
 
+void RelaySession::serverEnded()
+{
+    this->hasServerEnded = true;
+    if (this->isWritingToServer)
+        return;
+    this->end(this->hasWriteFailed);
+}
+
 void RelaySession::end(bool isReset)
 {
     if (std::exchange(this->isOver, true))
--- a/Source/Traffic/RelaySession.h
+++ b/Source/Traffic/RelaySession.h
@@ -17,7 +17,8 @@
 /**
  * One connection that this instance relays for another one: receives the CONNECT request, answers it, and then
  * forwards bytes in both directions until one side closes. A reset by the server is passed on as a reset, because an
- * answer without a length is complete only after an orderly close.
+ * answer without a length is complete only after an orderly close. The kernel reports a reset once, to a write to the
+ * server if one is in progress.
  */
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
 public:
@@ -49,6 +50,8 @@
     void watchForClose();
     void fromInstance();
     void fromServer();
+    /** The server has ended its side; ends the session once the write to the server has ended too. */
+    void serverEnded();
     void restartTimer(std::chrono::milliseconds duration);
     /** Closes both connections; with `isReset`, by resets. */
     void end(bool isReset);
@@ -62,6 +65,9 @@
     Direction toServer;
     Direction toInstance;
     std::string input; // of the request
+    bool isWritingToServer = false;
+    bool hasWriteFailed = false; // of a write to the server
+    bool hasServerEnded = false;
     bool isOver = false;
 };
 
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -23,6 +23,8 @@
     bool closes = false;
     bool resets = false;
     std::chrono::milliseconds afterEachByte{ 0 }; // pause after each byte that is sent
+    std::chrono::milliseconds beforeEnd{ 0 }; // pause before the connection is closed or reset
+    bool readsRest = false; // ends its sending side, and reads the request to its end before it closes
 };
 
 /** Accepts one connection and follows its script. */
@@ -50,6 +52,11 @@
         asio::error_code ignored;
         socket.read_some(asio::buffer(buffer), ignored);
         this->send(socket);
+        if (this->script.readsRest)
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        std::this_thread::sleep_for(this->script.beforeEnd);
+        while (this->script.readsRest && !ignored)
+            socket.read_some(asio::buffer(buffer), ignored);
         if (this->script.resets)
             socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (this->script.closes || this->script.resets) {
@@ -84,6 +91,18 @@
 const std::string Foreign = "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 3\r\n\r\nold";
 const std::string Unframed = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\nhi";
 
+const std::string Length = "Content-Length: 2\r\n\r\n";
+const std::string Zero(1, '\0');
+const std::string Chunks
+    = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"; // the last line is
+                                                                                                // missing
+
+/** The begin of the header of an answer; a status and a reason follow the version. */
+std::string headOf(const std::string& status)
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: r\r\n";
+}
+
 struct Case {
     const char* name;
     Script script;
@@ -110,6 +129,45 @@
     { "after an interim answer without a name", { "HTTP/1.1 103 x\r\n\r\n" + Ok }, Answered, "hi", true },
     { "a change of protocol", { "HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\n" + Ok }, Broken, "", false },
     { "no answer, before the own one", { "HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nno" + Ok }, Broken, "", false },
+    { "a status without a class, 000", { headOf("000 x") + Length + "hi" }, Broken, "", false },
+    { "a status without a class, 099", { headOf("099 x") + Length + "hi" }, Broken, "", false },
+    { "a status of four digits", { headOf("2000 x") + Length + "hi" }, Broken, "", false },
+    { "a status of two digits", { headOf("20 x") + Length + "hi" }, Broken, "", false },
+    { "a status that is no number", { headOf("2x0 x") + Length + "hi" }, Broken, "", false },
+    { "an interim answer with the status 000", { "HTTP/1.1 000 x\r\n\r\n" + Ok }, Broken, "", false },
+    { "a name with a blank", { headOf("200 x") + "a b: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a blank behind a name", { headOf("200 x") + "ab : c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a blank before the first name", { "HTTP/1.1 200 x\r\n ab: c\r\nRequest-Id: r\r\n" + Length + "hi" }, Broken, "",
+        false },
+    { "a value of two lines", { headOf("200 x") + "ab: c\r\n d\r\n" + Length + "hi" }, Answered, "hi", true },
+    { "a tab in a name", { headOf("200 x") + "a\tb: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a control byte in a name", { headOf("200 x") + "a\x01b: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a zero byte in a name", { headOf("200 x") + "a" + Zero + "b: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "DEL in a name", { headOf("200 x") + "a\x7f" + "b: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a byte above 127 in a name", { headOf("200 x") + "a\xe4" + "b: c\r\n" + Length + "hi" }, Broken, "", false },
+    { "an empty name", { headOf("200 x") + ": c\r\n" + Length + "hi" }, Broken, "", false },
+    { "a name without a colon", { headOf("200 x") + "ab\r\n" + Length + "hi" }, Broken, "", false },
+    { "a control byte in a value", { headOf("200 x") + "ab: c\x01\r\n" + Length + "hi" }, Broken, "", false },
+    { "a zero byte in a value", { headOf("200 x") + "ab: c" + Zero + "\r\n" + Length + "hi" }, Broken, "", false },
+    { "a carriage return in a value", { headOf("200 x") + "ab: c\rd\r\n" + Length + "hi" }, Broken, "", false },
+    { "a blank that hides the length", { headOf("200 x") + "Content-Length : 2\r\n\r\nhi" }, Broken, "", false },
+    { "a blank that hides the chunks", { headOf("200 x") + "Transfer-Encoding : chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" },
+        Broken, "", false },
+    { "a name with a blank in an interim answer", { "HTTP/1.1 103 x\r\na b: c\r\n\r\n" + Ok }, Broken, "", false },
+    { "a control byte in a name of an interim answer", { "HTTP/1.1 103 x\r\na\x01: c\r\n\r\n" + Ok }, Broken, "",
+        false },
+    { "a name with a blank in an answer in chunks",
+        { headOf("200 x") + "a b: c\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" }, Broken, "", false },
+    { "a name with a blank in a trailer", { Chunks + "a b: c\r\n\r\n" }, Broken, "", false },
+    { "a control byte in a name of a trailer", { Chunks + "a\x01: c\r\n\r\n" }, Broken, "", false },
+    { "chunks without the last line", { Chunks, true, false }, Broken, "", false },
+    { "two lengths that differ", { headOf("200 x") + "Content-Length: 2\r\nContent-Length: 1\r\n\r\nhi" }, Broken, "",
+        false },
+    { "a length and chunks",
+        { headOf("200 x") + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" }, Broken, "",
+        false },
+    { "a chunk size that is no number", { headOf("200 x") + "Transfer-Encoding: chunked\r\n\r\n-2\r\nhi\r\n0\r\n\r\n" },
+        Broken, "", false },
     { "a status of no class", { "HTTP/1.1 600 x\r\nRequest-Id: r\r\nContent-Length: 2\r\n\r\nhi" }, Broken, "", false },
     { "without a length, orderly close", { Unframed, true, false }, Answered, "hi", false },
     { "without a length, reset", { Unframed, false, true }, Broken, "", false },
@@ -163,6 +221,61 @@
     }
 }
 
+// A server that answers before it has read the request, and then ends the connection, resets it: its unread bytes are
+// lost. The kernel reports a reset once. The write that was under way took the report, the read behind it saw an
+// orderly end, and the part of an answer without a length that had come passed as the whole answer.
+TEST(HttpExchange, AnAnswerWithoutALengthIsNotWholeIfItsConnectionIsResetDuringTheRequest)
+{
+    struct Early {
+        const char* name;
+        bool resets; // otherwise closes with unread bytes
+        std::chrono::milliseconds beforeEnd;
+    };
+    const std::vector<Early> rows{
+        { "reset at once", true, std::chrono::milliseconds(0) },
+        { "reset later", true, std::chrono::milliseconds(50) },
+        { "closed at once", false, std::chrono::milliseconds(0) },
+        { "closed later", false, std::chrono::milliseconds(50) },
+    };
+    constexpr int runs = 4;
+    for (int run = 0; run < runs; ++run) {
+        for (const Early& row : rows) {
+            const ScriptedServer server(
+                { .bytes = Unframed, .closes = !row.resets, .resets = row.resets, .beforeEnd = row.beforeEnd });
+            asio::io_context context;
+            HttpExchangeResult result = HttpExchangeResult::NotSent;
+            const auto exchange = std::make_shared<HttpExchange>(context,
+                HttpExchange::Options{ .address = server.address(),
+                    .request
+                    = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000000\r\n\r\n" + std::string(20000000, 'b'),
+                    .timeout = { 5000 },
+                    .match = &matchOwn },
+                [&](const HttpExchangeEnd& end) { result = end.result; });
+            exchange->start(nullptr);
+            context.run();
+            CHECK_TEXT(result == Broken, row.name);
+        }
+    }
+}
+
+// A server may end its answer in order and read the rest of the request afterwards.
+TEST(HttpExchange, AnAnswerWithoutALengthIsWholeIfItsServerReadsTheRestOfTheRequest)
+{
+    const ScriptedServer server(
+        { .bytes = Unframed, .closes = true, .beforeEnd = std::chrono::milliseconds(50), .readsRest = true });
+    asio::io_context context;
+    HttpExchangeResult result = HttpExchangeResult::NotSent;
+    const auto exchange = std::make_shared<HttpExchange>(context,
+        HttpExchange::Options{ .address = server.address(),
+            .request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000000\r\n\r\n" + std::string(20000000, 'b'),
+            .timeout = { 5000 },
+            .match = &matchOwn },
+        [&](const HttpExchangeEnd& end) { result = end.result; });
+    exchange->start(nullptr);
+    context.run();
+    CHECK(result == Answered);
+}
+
 TEST(HttpExchange, ARefusedConnectionMeansNotSent)
 {
     asio::io_context context;
--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Redefines operator new: after all other headers.
@@ -33,6 +34,8 @@
     Answers,
     AnswersWithoutLength, // closes in order after the body
     ResetsAfterHeader,
+    ResetsEarly, // before it has read the request's body
+    ClosesEarly, // the same, without asking for a reset
     NeverAnswers
 };
 
@@ -63,9 +66,13 @@
                 if (error)
                     return;
                 this->input.append(this->chunk.data(), size);
-                if (this->input.ends_with("\r\n\r\n"))
+                const std::size_t headEnd = this->input.find("\r\n\r\n");
+                if (headEnd == std::string::npos)
+                    return this->read();
+                if (!std::exchange(this->isAnswered, true))
                     this->answer();
-                this->read();
+                if (this->socket.is_open())
+                    this->read();
             });
     }
 
@@ -86,11 +93,19 @@
             this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
             this->socket.close(ignored);
             return;
+        case Behaviour::ResetsEarly:
+        case Behaviour::ClosesEarly:
+            asio::write(this->socket, asio::buffer(start + "Connection: close\r\n\r\nab"), ignored);
+            if (this->behaviour == Behaviour::ResetsEarly)
+                this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            this->socket.close(ignored);
+            return;
         case Behaviour::NeverAnswers:
             return;
         }
     }
 
+    bool isAnswered = false;
     asio::ip::tcp::acceptor acceptor;
     asio::ip::tcp::socket socket;
     Behaviour behaviour;
@@ -123,8 +138,12 @@
     HttpExchangeResult result;
     ConnectOutcome connect;
     const char* body;
+    std::size_t requestBytes = 0; // of the body of the request
 };
 
+/** More than the buffers of the connections hold. */
+constexpr std::size_t LargeBodyBytes = 20000000;
+
 const std::vector<Case> Cases{
     { "answer with a length", Behaviour::Answers, true, {}, HttpExchangeResult::Answered, ConnectOutcome::Connected,
         "abc" },
@@ -132,6 +151,12 @@
         ConnectOutcome::Connected, "abc" },
     { "reset within the answer", Behaviour::ResetsAfterHeader, true, {}, HttpExchangeResult::Broken,
         ConnectOutcome::Connected, "" },
+    { "reset within the request", Behaviour::ResetsEarly, true, {}, HttpExchangeResult::Broken,
+        ConnectOutcome::Connected, "", LargeBodyBytes },
+    { "closed within the request", Behaviour::ClosesEarly, true, {}, HttpExchangeResult::Broken,
+        ConnectOutcome::Connected, "", LargeBodyBytes },
+    { "answer with a length to a large request", Behaviour::Answers, true, {}, HttpExchangeResult::Answered,
+        ConnectOutcome::Connected, "abc", LargeBodyBytes },
     { "server that refuses connections", Behaviour::Answers, false, RelayRefusal::ServerRefused,
         HttpExchangeResult::NotSent, ConnectOutcome::Refused, "" },
     { "server that does not answer", Behaviour::Answers, false, RelayRefusal::ServerSilent, HttpExchangeResult::NotSent,
@@ -171,11 +196,11 @@
         CHECK(!this->relay.listen(Relay));
     }
 
-    std::shared_ptr<HttpExchange> start(const NetworkAddress& relayAddress)
+    std::shared_ptr<HttpExchange> start(const NetworkAddress& relayAddress, std::size_t requestBytes = 0)
     {
         HttpExchange::Options options;
         options.relay = RelayTarget{ .relay = relayAddress, .backendServer = "s1" };
-        options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(requestBytes, 'b');
         auto exchange = std::make_shared<HttpExchange>(
             this->context, std::move(options), [this](HttpExchangeEnd ended) { this->end = std::move(ended); });
         exchange->start(nullptr);
@@ -201,7 +226,7 @@
 {
     for (const Case& item : Cases) {
         RelayedExchange exchange(item);
-        exchange.start(Relay);
+        exchange.start(Relay, item.requestBytes);
         exchange.runFor({ 150 });
         CHECK_TEXT(exchange.end.has_value(), item.name);
         CHECK_TEXT(exchange.end->result == item.result, item.name);
