--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -74,7 +74,8 @@
     this->isHeaderAccepted = false;
     this->matched = AnswerMatch::Own;
     this->parser.emplace();
-    this->parser->eager(true);
+    // Only the header tells whether an end mark follows the body.
+    this->parser->eager(this->endMark.empty());
     this->parser->skip(this->options.isHeadRequest);
     this->parser->header_limit(MaxHeaderBytes);
     this->parser->body_limit(this->options.maxAnswerBytes);
@@ -128,7 +129,9 @@
     };
     if (!this->options.relay)
         return begin();
-    requestRelay(this->connection, this->options.relay->backendServer,
+    this->endMark = newRelayEndMark();
+    this->resetParser();
+    requestRelay(this->connection, { .backendServer = this->options.relay->backendServer, .endMark = this->endMark },
         [self = this->shared_from_this(), begin](RelayReply reply) {
             if (self->isFinished)
                 return;
@@ -196,8 +199,16 @@
     return this->parser->is_header_done() && this->parser->need_eof();
 }
 
+std::size_t HttpExchange::heldBackBytes() const
+{
+    return this->isAnswerWithoutLength() ? this->endMark.size() : 0;
+}
+
 bool HttpExchange::finishAnswerWithoutLength()
 {
+    if (this->input != this->endMark)
+        return false;
+    this->input.clear();
     boost::beast::error_code error;
     this->parser->put_eof(error);
     return !error && this->parser->is_done();
@@ -205,12 +216,14 @@
 
 void HttpExchange::parse()
 {
-    while (!this->input.empty()) {
+    while (this->input.size() > this->heldBackBytes()) {
         boost::beast::error_code error;
-        const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
+        const std::size_t parsable = this->input.size() - this->heldBackBytes();
+        const std::size_t used = this->parser->put(boost::asio::buffer(this->input.data(), parsable), error);
         this->input.erase(0, used);
         if (!this->acceptHeader())
             return;
+        this->parser->eager(this->endMark.empty() || this->parser->is_header_done());
         if (error && error != http::error::need_more)
             return this->finishBroken(problemOf(error));
         if (!this->isWithinLimits())
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -49,7 +49,9 @@
  *
  * An answer without a length is whole when its connection ends in order. The
  * kernel reports a reset once, to the write if one is in progress, so the end
- * counts only after the request was written without an error.
+ * counts only after the request was written without an error. The end of a
+ * relayed connection may be that of the relay, so there it counts only behind
+ * the relay's end mark.
  *
  * A server may send bytes without end. An exchange bounds what it holds of a
  * header, of a line that frames a chunk, and of the body, the number of answers
@@ -111,6 +113,8 @@
     void connectionEnded();
     bool isAnswerWithoutLength() const;
     bool finishAnswerWithoutLength();
+    /** The bytes at the end of the input that may be the relay's end mark, and are not parsed. */
+    std::size_t heldBackBytes() const;
     /** Judges and reports the header once it is complete; false if it ended the exchange. */
     bool acceptHeader();
     void answerComplete();
@@ -143,6 +147,7 @@
     bool isReused = false;
     std::error_code connectError;
     std::optional<RelayReply> relayReply;
+    std::string endMark; // by which the relay tells that the server has ended in order
     bool hasSkippedAnswer = false; // an answer to another request was skipped
     bool isHeaderAccepted = false; // of the answer that is being read
     AnswerMatch matched = AnswerMatch::Own; // of the answer that is being read
--- a/Source/Http/OpenConnection.cpp
+++ b/Source/Http/OpenConnection.cpp
@@ -50,7 +50,7 @@
                 if (!cancelled)
                     connection->socket.close(ignored);
             });
-            requestRelay(connection, server, [timer, answered](RelayReply reply) {
+            requestRelay(connection, { .backendServer = server, .endMark = {} }, [timer, answered](RelayReply reply) {
                 timer->cancel();
                 answered(reply);
             });
--- a/Source/Http/RelayRequest.cpp
+++ b/Source/Http/RelayRequest.cpp
@@ -7,6 +7,7 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <random>
 #include <utility>
 
 namespace burlreach {
@@ -91,13 +92,26 @@
     return static_cast<unsigned>(found == ReplyStatuses.end() ? DeclinedStatus : found->status);
 }
 
-void requestRelay(
-    const std::shared_ptr<HttpConnection>& connection, std::string_view backendServer, RelayAnswered answered)
+std::string newRelayEndMark()
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr std::size_t digitCount = 32;
+    std::random_device random;
+    std::uniform_int_distribution<std::size_t> place(0, digits.size() - 1);
+    std::string mark;
+    while (mark.size() < digitCount)
+        mark += digits[place(random)];
+    return mark;
+}
+
+void requestRelay(const std::shared_ptr<HttpConnection>& connection, const RelayRequest& asked, RelayAnswered answered)
 {
     constexpr unsigned httpVersion = 11;
     HttpRequest request(http::verb::connect, "relay:0", httpVersion);
     request.set(http::field::host, "relay");
-    setField(request, RelayServerField, backendServer);
+    setField(request, RelayServerField, asked.backendServer);
+    if (!asked.endMark.empty())
+        setField(request, RelayEndMarkField, asked.endMark);
     const auto text = std::make_shared<std::string>(encode(std::move(request)));
     const auto reader = std::make_shared<RelayAnswerReader>(connection, std::move(answered));
     asio::async_write(connection->socket, asio::buffer(*text),
--- a/Source/Http/RelayRequest.h
+++ b/Source/Http/RelayRequest.h
@@ -27,11 +27,22 @@
     Unreached // the instance did not answer
 };
 
+/** What an instance is asked for when it is to relay a connection. */
+struct RelayRequest {
+    std::string_view backendServer; // id of the server to connect to
+    std::string_view endMark; // sent behind the server's bytes when the server has ended in order; empty: none
+};
+
 /** The HTTP status with which an instance gives this reply. */
 unsigned statusOf(RelayReply reply);
 
 /** Header field with the id of the backend server to which a relay is asked to connect. */
 inline constexpr std::string_view RelayServerField = "Backend-Server";
+/** Header field with the bytes by which the relay tells that the server has ended the connection in order. */
+inline constexpr std::string_view RelayEndMarkField = "End-Mark";
+
+/** Makes an end mark, 32 random hexadecimal digits: no server can send it, since none is told. */
+std::string newRelayEndMark();
 
 using RelayAnswered = std::function<void(RelayReply reply)>;
 
@@ -40,6 +51,6 @@
  * Connected, the connection leads to the backend server. Closing the connection abandons the request.
  */
 void requestRelay(
-    const std::shared_ptr<HttpConnection>& connection, std::string_view backendServer, RelayAnswered answered);
+    const std::shared_ptr<HttpConnection>& connection, const RelayRequest& request, RelayAnswered answered);
 
 }
--- a/Source/Traffic/RelaySession.cpp
+++ b/Source/Traffic/RelaySession.cpp
@@ -72,6 +72,7 @@
     const std::string backendServer(isUsable ? valueOf(parser.get(), RelayServerField) : std::string_view{});
     if (backendServer.empty())
         return this->refuse(static_cast<unsigned>(http::status::bad_request));
+    this->endMark = valueOf(parser.get(), RelayEndMarkField);
     this->watchForClose();
     this->asked(this->number, backendServer);
 }
@@ -171,7 +172,10 @@
     this->hasServerEnded = true;
     if (this->isWritingToServer)
         return;
-    this->end(this->hasWriteFailed);
+    if (this->hasWriteFailed)
+        return this->end(true);
+    asio::async_write(this->instance, asio::buffer(this->endMark),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->end(bool(error)); });
 }
 
 void RelaySession::end(bool isReset)
--- a/Source/Traffic/RelaySession.h
+++ b/Source/Traffic/RelaySession.h
@@ -17,8 +17,8 @@
 /**
  * One connection that this instance relays for another one: receives the CONNECT request, answers it, and then
  * forwards bytes in both directions until one side closes. A reset by the server is passed on as a reset, because an
- * answer without a length is complete only after an orderly close. The kernel reports a reset once, to a write to the
- * server if one is in progress.
+ * answer without a length is complete only after an orderly close; then the end mark that the other instance has named
+ * follows the server's bytes. The kernel reports a reset once, to a write to the server if one is in progress.
  */
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
 public:
@@ -65,6 +65,7 @@
     Direction toServer;
     Direction toInstance;
     std::string input; // of the request
+    std::string endMark; // that the other instance has named; empty: none
     bool isWritingToServer = false;
     bool hasWriteFailed = false; // of a write to the server
     bool hasServerEnded = false;
--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -238,6 +238,61 @@
     }
 }
 
+/** An instance that relays one connection and ends before the server's answer is whole. */
+class EndingRelay {
+public:
+    explicit EndingRelay(asio::io_context& context)
+        : acceptor(context, { asio::ip::make_address(Loopback), 0 })
+        , socket(context)
+    {
+        this->acceptor.async_accept(this->socket, [this](const asio::error_code& error) {
+            if (!error)
+                this->read();
+        });
+    }
+
+    NetworkAddress address() const { return { .host = Loopback, .port = this->acceptor.local_endpoint().port() }; }
+
+private:
+    void read()
+    {
+        this->socket.async_read_some(asio::buffer(this->chunk), [this](const asio::error_code& error, std::size_t) {
+            if (error)
+                return;
+            asio::error_code ignored;
+            const bool isAsked = !std::exchange(this->isForwarding, true);
+            const std::string bytes = isAsked ? "HTTP/1.1 200 OK\r\n\r\n" : "HTTP/1.1 200 OK\r\n\r\nhalf of the body";
+            asio::write(this->socket, asio::buffer(bytes), ignored);
+            if (isAsked)
+                return this->read();
+            // As the kernel ends the connections of a process that is killed.
+            this->socket.close(ignored);
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::array<char, 1024> chunk{};
+    bool isForwarding = false;
+};
+
+// The end of a relayed connection may be that of the relay: half of an answer without a length passed as a whole one.
+TEST(RelayServer, TheEndOfTheRelayDoesNotCompleteAnAnswerWithoutALength)
+{
+    asio::io_context context;
+    EndingRelay relay(context);
+    std::optional<HttpExchangeEnd> end;
+    HttpExchange::Options options;
+    options.relay = RelayTarget{ .relay = relay.address(), .backendServer = "s1" };
+    options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    const auto exchange = std::make_shared<HttpExchange>(
+        context, std::move(options), [&end](HttpExchangeEnd ended) { end = std::move(ended); });
+    exchange->start(nullptr);
+    context.run_for(std::chrono::milliseconds(150));
+    CHECK(end.has_value());
+    CHECK(end->result == HttpExchangeResult::Broken);
+}
+
 TEST(RelayServer, RelayThatDoesNotListenProvesThatNothingWasSent)
 {
     RelayedExchange exchange(Cases.front());
