One bound on all that callers and servers make an instance hold

Callers that sent many bodies of legal size at once, most of them stopping just short of their end, ended a process: out of memory.

Cause: only answers that were being received had a bound. Bodies that were being read, requests that waited or were at work, and answers that callers did not take had none, and what had arrived and was not read could grow to megabytes for each connection. Ruled out: headers, chunk extensions, trailers, bodies announced over the limit (all bounded before); the allocator's large blocks.

Change: MemoryBound (AnswerMemory before) counts all of them once against what the machine's memory (/machine/memoryMegabytes, the platform's limits.memory_mb; 160 if not given) leaves beside what else the process uses, measured each second. A body that gives way has not run: 503 memory_full with Retry-After at once, and what its caller still sends is dropped for 3 s, since closing would reset the connection and lose the answer. The receive buffers of callers' connections are 64 KiB.

EndlessAnswers checks the same of the bound's new form.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -50,12 +50,15 @@
         this->options.memory->remove(*this);
 }
 
-bool HttpExchange::hasDeclaredLength() const
+DropOrder HttpExchange::dropOrder() const
 {
-    return this->parser && this->parser->is_header_done() && this->parser->content_length().has_value();
+    // An answer without a declared length may have no end.
+    const bool isDeclared
+        = this->parser && this->parser->is_header_done() && this->parser->content_length().has_value();
+    return isDeclared ? DropOrder::Late : DropOrder::Usual;
 }
 
-void HttpExchange::dropAnswer()
+void HttpExchange::dropBytes()
 {
     this->finishBroken(AnswerProblem::MemoryFull);
 }
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -3,10 +3,10 @@
 #include "Base/Clock.h"
 #include "Base/NetworkAddress.h"
 #include "Http/AnswerMatch.h"
-#include "Http/AnswerMemory.h"
 #include "Http/AnswerProblem.h"
 #include "Http/HttpConnection.h"
 #include "Http/HttpMessage.h"
+#include "Http/MemoryBound.h"
 #include "Http/RelayRequest.h"
 #include "Timers/Timer.h"
 
@@ -55,9 +55,9 @@
  *
  * A server may send bytes without end. An exchange bounds what it holds of a
  * header, of a line that frames a chunk, and of the body, the number of answers
- * that it skips, and the sum of all bytes; AnswerMemory bounds all bodies together.
+ * that it skips, and the sum of all bytes; MemoryBound bounds all bodies together.
  */
-class HttpExchange : public std::enable_shared_from_this<HttpExchange>, private AnswerHolder {
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>, private MemoryHolder {
 public:
     struct Options {
         NetworkAddress address;
@@ -71,7 +71,7 @@
         Milliseconds timeout = Never; // from the start of writing to the end of the answer
         bool isIdleTimeout = false; // the timeout restarts whenever bytes are received
         std::size_t maxAnswerBytes = 67108864; // bytes of the body
-        std::shared_ptr<AnswerMemory> memory; // bounds the answers of several exchanges; null: no bound
+        std::shared_ptr<MemoryBound> memory; // bounds the answers of several exchanges; null: no bound
         /**
          * Judges the header of a final answer. One to another request is skipped, no answer ends the exchange at once.
          * Empty: all answers are accepted.
@@ -100,10 +100,10 @@
     void abortUnsent();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::dynamic_body>;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::basic_dynamic_body<HttpBody>>;
 
-    bool hasDeclaredLength() const override;
-    void dropAnswer() override;
+    DropOrder dropOrder() const override;
+    void dropBytes() override;
     void connect();
     void connected();
     void write();
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -57,6 +57,10 @@
         this->acceptor.open(endpoint.protocol(), error);
     if (!error)
         this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    // Accepted connections inherit it. What has arrived and is not read takes memory of the machine, and the kernel
+    // lets it grow to megabytes for each connection.
+    asio::error_code ignored;
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(SessionReceiveBytes), ignored);
     if (!error)
         this->acceptor.bind(endpoint, error);
     if (!error)
@@ -91,8 +95,9 @@
         return;
     }
     const auto session = std::make_shared<HttpSession>(
-        HttpSession::Accepted{ .socket = std::move(socket), .caller = from.address().to_string() }, ++this->lastNumber,
-        *this->handler, *this->clock, this->limits);
+        HttpSession::Accepted{
+            .socket = std::move(socket), .caller = from.address().to_string(), .memory = this->memory },
+        ++this->lastNumber, *this->handler, *this->clock, this->limits);
     if (this->closesAfterAnswers)
         session->closeAfterAnswer();
     this->acceptedAt = this->clock->now();
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <system_error>
 #include <unordered_map>
+#include <utility>
 
 namespace burlreach {
 
@@ -24,6 +25,8 @@
     void beginAccepting();
     /** Sets the limits of existing and new sessions. */
     void setLimits(const HttpSessionLimits& next) { this->limits = next; }
+    /** Bounds what the sessions that are accepted from now on hold. */
+    void setMemory(std::shared_ptr<MemoryBound> bound) { this->memory = std::move(bound); }
     /** Further connections are closed at once. */
     void setMaxSessions(std::size_t most) { this->maxSessions = most; }
     /**
@@ -64,6 +67,7 @@
     HttpSessionHandler* handler;
     const Clock* clock;
     HttpSessionLimits limits;
+    std::shared_ptr<MemoryBound> memory;
     std::size_t maxSessions = 4000;
     std::uint64_t lastNumber = 0;
     std::uint64_t refusedCount = 0;
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Http/BlockAllocator.h"
+
 #include <asio/buffer.hpp>
 #include <boost/beast/core/multi_buffer.hpp>
-#include <boost/beast/http/dynamic_body.hpp>
+#include <boost/beast/http/basic_dynamic_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <cstddef>
 #include <memory>
@@ -13,12 +15,12 @@
 namespace burlreach {
 
 using HttpFields = boost::beast::http::fields;
+/** The bytes of a body, in blocks that stay where they are while it grows: a large body is never copied. */
+using HttpBody = boost::beast::basic_multi_buffer<BlockAllocator<char>>;
 /** A complete request; a chunked body has been decoded. */
-using HttpRequest = boost::beast::http::request<boost::beast::http::dynamic_body>;
+using HttpRequest = boost::beast::http::request<boost::beast::http::basic_dynamic_body<HttpBody>>;
 /** A complete answer; a chunked body has been decoded. */
-using HttpResponse = boost::beast::http::response<boost::beast::http::dynamic_body>;
-/** The bytes of a body, in blocks that stay where they are while it grows: a large body is never copied. */
-using HttpBody = boost::beast::multi_buffer;
+using HttpResponse = boost::beast::http::response<boost::beast::http::basic_dynamic_body<HttpBody>>;
 
 /** A message in the form in which it is written: its header, and its body where it was received. */
 struct EncodedMessage {
--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -22,6 +22,15 @@
  */
 constexpr std::size_t MaxUnfinishedRequests = 8;
 
+/** After the last answer, for as long what the caller still sends is read and dropped. */
+constexpr Milliseconds LingerTime{ 3000 };
+/** A session without progress for this long gives way before others. */
+constexpr Milliseconds StallTime{ 1000 };
+/** In bytes. Sessions that hold less are not counted: buffers of this size belong to each session. */
+constexpr std::size_t UncountedBytes = 4096;
+/** What may have arrived on a connection and is not read: the kernel keeps twice the size that was set. */
+constexpr std::size_t UnreadBytes = 2 * SessionReceiveBytes;
+
 HttpRequestProblem problemOf(const boost::beast::error_code& error)
 {
     if (error == http::error::header_limit)
@@ -39,10 +48,64 @@
     , handler(&givenHandler)
     , clock(&givenClock)
     , limits(&givenLimits)
+    , memory(std::move(accepted.memory))
     , lastActive(givenClock.now())
 {
 }
 
+HttpSession::~HttpSession()
+{
+    if (this->memory)
+        this->memory->remove(*this);
+}
+
+std::size_t HttpSession::incomingBytes() const
+{
+    std::size_t bytes = this->input.size() + this->headerBytes + (this->hasMoreToRead ? UnreadBytes : 0);
+    if (this->parser)
+        bytes += this->parser->get().body().size();
+    if (this->completeRequest)
+        bytes += this->completeRequest->message.body().size();
+    return bytes;
+}
+
+bool HttpSession::holdsRequest() const
+{
+    const bool isReceiving = this->completeRequest || this->requestBeganAt != Never;
+    return isReceiving && this->incomingBytes() >= this->outgoingBytes();
+}
+
+DropOrder HttpSession::dropOrder() const
+{
+    // Whole requests that came before the refused one are at work.
+    if (this->isRefused || this->isClosing)
+        return this->answers.hasUnanswered() ? DropOrder::Late : DropOrder::Early;
+    const bool isStalled = this->clock->now() - this->lastActive >= StallTime;
+    if (this->holdsRequest())
+        return isStalled ? DropOrder::Early : DropOrder::Usual;
+    return isStalled && this->isWriting() ? DropOrder::Early : DropOrder::Late;
+}
+
+void HttpSession::dropBytes()
+{
+    const bool isRefusable = !this->isRefused && !this->isClosing && this->holdsRequest();
+    if (isRefusable)
+        this->reportUnreadable(HttpRequestProblem::MemoryFull);
+    else
+        this->abandon();
+}
+
+void HttpSession::noteMemory()
+{
+    if (!this->memory)
+        return;
+    const std::size_t bytes = this->socket.is_open() ? this->incomingBytes() + this->outgoingBytes() : 0;
+    if (bytes < UncountedBytes)
+        this->memory->remove(*this);
+    else
+        this->memory->set(*this, bytes);
+}
+
 void HttpSession::start()
 {
     asio::error_code ignored;
@@ -58,6 +121,7 @@
     this->parser->header_limit(static_cast<std::uint32_t>(this->limits->headerBytes));
     this->parser->body_limit(this->limits->bodyBytes);
     this->requestBeganAt = Never;
+    this->headerBytes = 0;
     this->isContinueHandled = false;
 }
 
@@ -97,6 +161,11 @@
 {
     asio::error_code ignored;
     this->socket.close(ignored);
+    // Released now: handlers that are queued may keep the session for a while.
+    this->input.clear();
+    this->completeRequest.reset();
+    this->parser.reset();
+    this->noteMemory();
 }
 
 void HttpSession::read()
@@ -119,6 +188,7 @@
         return this->abandon();
     this->lastActive = this->clock->now();
     this->input.append(this->chunk.data(), size);
+    this->hasMoreToRead = size == this->chunk.size();
     this->processInput();
 }
 
@@ -141,8 +211,11 @@
             return;
         this->startRequest();
     }
-    if (this->isClosing)
+    if (this->isClosing || this->isRefused)
         this->input.clear();
+    this->noteMemory();
+    if (!this->socket.is_open())
+        return;
     this->sendContinueIfExpected();
     if (this->input.size() < MaxReadAheadBytes)
         this->read();
@@ -163,6 +236,8 @@
         boost::beast::error_code error;
         const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
+        if (!this->parser->is_header_done())
+            this->headerBytes += used;
         if (error && error != http::error::need_more) {
             this->reportUnreadable(problemOf(error));
             return false;
@@ -190,6 +265,8 @@
     request.number = this->answers.addRequest({ .version = request.message.version(),
         .isHeadRequest = request.message.method() == http::verb::head,
         .keepsConnection = request.message.keep_alive() });
+    // From now on the handler holds it.
+    this->noteMemory();
     this->handler->requestReceived(this->shared_from_this(), std::move(request));
 }
 
@@ -209,7 +286,10 @@
 void HttpSession::reportUnreadable(HttpRequestProblem problem)
 {
     this->closesAfterNewest = true;
+    this->isRefused = true;
     this->input.clear();
+    this->completeRequest.reset();
+    this->resetParser();
     const HttpRequestNumber request = this->answers.addRequest({ .keepsConnection = false });
     this->handler->requestUnreadable(this->shared_from_this(), request, problem);
 }
@@ -228,6 +308,9 @@
     if (!this->isWriting())
         return;
     this->isClosing = this->output.isLast;
+    this->noteMemory();
+    if (!this->socket.is_open())
+        return;
     std::vector<asio::const_buffer> buffers;
     for (const EncodedMessage& message : this->output.messages)
         addBuffers(message, buffers);
@@ -244,6 +327,7 @@
     this->lastActive = this->clock->now();
     this->output = {};
     if (this->isClosing) {
+        this->lingersUntil = this->lastActive + LingerTime;
         // Closes only the sending side: closing the socket while the caller still sends would reset the connection,
         // and the caller could lose the answer.
         asio::error_code ignored;
@@ -260,6 +344,8 @@
         return;
     if (!this->socket.is_open() || !this->answers.isEmpty())
         return;
+    if (now >= this->lingersUntil)
+        return this->close();
     const bool isSlow = this->awaitsRequest() && !this->parser->is_header_done() && this->requestBeganAt != Never
         && now - this->requestBeganAt > this->limits->headerTimeout;
     if (isSlow)
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Http/AnswerQueue.h"
 #include "Http/HttpMessage.h"
+#include "Http/MemoryBound.h"
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -18,11 +19,15 @@
 
 class HttpSession;
 
+/** Size in bytes that is set for the receive buffer of each caller's connection. */
+inline constexpr std::size_t SessionReceiveBytes = 65536;
+
 /** Why a request could not be read. */
 enum class HttpRequestProblem {
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
+    MemoryFull, // what callers and servers make this process hold takes too much memory, and this request gives way
     TooSlow // the header was not complete within the time limit
 };
 
@@ -74,17 +79,25 @@
  * number of unfinished requests is below a limit; otherwise it waits. Answers
  * are written in the order of the requests. Reading goes on while answers are
  * awaited, to notice when the caller closes the connection.
+ *
+ * What the caller has sent and not taken counts against a bound on memory. If it gives way to others, a request that is
+ * not complete is refused, and a caller that does not take its answers loses its connection. After a refusal, what the
+ * caller still sends is read and dropped for some seconds, because closing would reset the connection.
  */
-class HttpSession : public std::enable_shared_from_this<HttpSession> {
+class HttpSession : public std::enable_shared_from_this<HttpSession>, private MemoryHolder {
 public:
     /** An accepted connection and the caller's address. */
     struct Accepted {
         asio::ip::tcp::socket socket;
         std::string caller; // the IP address, without the port
+        std::shared_ptr<MemoryBound> memory; // null: no bound
     };
 
     HttpSession(Accepted accepted, std::uint64_t number, HttpSessionHandler& handler, const Clock& clock,
         const HttpSessionLimits& limits);
+    ~HttpSession() override;
+    HttpSession(const HttpSession&) = delete;
+    HttpSession& operator=(const HttpSession&) = delete;
 
     void start();
     /** Answers a request. The answer is written once the answers to all earlier requests are. */
@@ -115,8 +128,18 @@
     Milliseconds lastActiveAt() const { return this->lastActive; }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::dynamic_body>;
-
+    using Parser = boost::beast::http::request_parser<boost::beast::http::basic_dynamic_body<HttpBody>>;
+
+    DropOrder dropOrder() const override;
+    void dropBytes() override;
+    /** Bytes of what the caller has sent and was not passed on; with an estimate of what was not read yet. */
+    std::size_t incomingBytes() const;
+    /** Bytes of the answers that the caller has not taken. */
+    std::size_t outgoingBytes() const { return this->output.size() + this->answers.waitingBytes(); }
+    /** True if most of what this session holds is a request that was not passed on. */
+    bool holdsRequest() const;
+    /** Counts what this session holds; may drop it. */
+    void noteMemory();
     bool isWriting() const { return !this->output.messages.empty(); }
     /** Returns true if bytes have arrived that were not read yet; closing the socket would reset the connection. */
     bool hasUnreadBytes() const;
@@ -132,6 +155,7 @@
     bool parse();
     bool mayStart(const HttpRequest& request) const;
     void startRequest();
+    /** Drops what was read of requests that were not passed on, has this one answered, and closes afterwards. */
     void reportUnreadable(HttpRequestProblem problem);
     void sendContinueIfExpected();
     void writeReady();
@@ -145,16 +169,21 @@
     HttpSessionHandler* handler;
     const Clock* clock;
     const HttpSessionLimits* limits;
+    std::shared_ptr<MemoryBound> memory;
     AnswerQueue answers;
     std::optional<Parser> parser;
     std::optional<ReceivedRequest> completeRequest; // complete, but not passed to the handler yet
     static constexpr std::size_t ReadSize = 8192;
     std::array<char, ReadSize> chunk{};
     std::string input; // read, not yet parsed
+    std::size_t headerBytes = 0; // parsed, of the request that is being read
+    bool hasMoreToRead = false; // the last read was filled, so more has probably arrived
     ReadyAnswers output; // is being written
     bool isReading = false; // an asynchronous read is in progress
     bool closesAfterNewest = false; // the connection is closed after the answer to the newest request
+    bool isRefused = false; // a request was unreadable; what the caller sends from now on is dropped
     bool isClosing = false; // the last answer was written or is being written
+    Milliseconds lingersUntil = Never; // closing: time at which a caller that goes on sending is cut off
     bool isContinueHandled = false; // "Expect: 100-continue" of the current request was handled
     Milliseconds requestBeganAt = Never; // time of the first byte of the request that is being read
     Milliseconds lastActive;
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -16,6 +16,7 @@
     "not_ready",
     "too_many_sessions",
     "body_too_large",
+    "memory_full",
     "queue_full",
     "waited_too_long",
     "deadline_passed_waiting",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -16,6 +16,7 @@
     NotReady, // this instance has no configuration yet
     TooManySessions,
     BodyTooLarge,
+    MemoryFull, // all that callers and servers make the instance hold takes too much memory
     QueueFull,
     WaitedTooLong, // no backend server had a free slot within the share of the target latency that may be spent waiting
     DeadlinePassedWaiting,
--- a/Source/Metrics/TrafficMetrics.h
+++ b/Source/Metrics/TrafficMetrics.h
@@ -20,6 +20,9 @@
 
     std::atomic<std::uint64_t> answersOverLimit{ 0 }; // ended because the server sent too much
 
+    std::atomic<std::uint64_t> heldBytes{ 0 }; // that callers and servers make the instance hold
+    std::atomic<std::uint64_t> droppedForMemory{ 0 }; // requests, answers and connections that gave way to others
+
     std::atomic<std::uint64_t> openRequests{ 0 };
     std::atomic<std::uint64_t> unfinishedAnswers{ 0 }; // counted during a planned stop only
     std::atomic<std::uint64_t> openRelays{ 0 }; // connections relayed for other instances
--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -69,6 +69,8 @@
     add(answer, "connections_opened", "", static_cast<double>(traffic.connectionsOpened));
     add(answer, "connections_reused", "", static_cast<double>(traffic.connectionsReused));
     add(answer, "answers_over_limit", "", static_cast<double>(traffic.answersOverLimit));
+    add(answer, "held_bytes", "", static_cast<double>(traffic.heldBytes));
+    add(answer, "dropped_for_memory", "", static_cast<double>(traffic.droppedForMemory));
     add(answer, "log_lines_dropped", "", static_cast<double>(traffic.logLinesLeftOut));
     add(answer, "open_sessions", "", static_cast<double>(traffic.openSessions));
     add(answer, "sessions_refused", "", static_cast<double>(traffic.sessionsRefused));
--- a/Source/Program/TrafficThread.cpp
+++ b/Source/Program/TrafficThread.cpp
@@ -1,6 +1,7 @@
 #include "Program/TrafficThread.h"
 
 #include "Base/ChronoDuration.h"
+#include "Base/ResidentMemory.h"
 
 #include <algorithm>
 #include <asio/dispatch.hpp>
@@ -12,11 +13,26 @@
 
 constexpr Milliseconds TendingInterval{ 1000 };
 
+constexpr std::size_t BytesPerMegabyte = 1000000;
+/** What a process with a small configuration uses beside what callers and servers make it hold. */
+constexpr std::size_t LeastOtherBytes = 24 * BytesPerMegabyte;
+/** With less than this, hardly any request could be served. */
+constexpr std::size_t LeastHeldBytes = 8 * BytesPerMegabyte;
+/** One part in so many of the machine's memory stays free, for what cannot be counted. */
+constexpr std::size_t FreePart = 8;
+
+std::size_t boundOfHeldBytes(std::size_t machineBytes, std::size_t otherBytes)
+{
+    const std::size_t taken = std::max(otherBytes, LeastOtherBytes) + machineBytes / FreePart;
+    return std::max(machineBytes - std::min(machineBytes, taken), LeastHeldBytes);
+}
+
 RequestForwarder::Options deskOptions(const Settings& settings)
 {
     RequestForwarder::Options options;
     options.address = settings.callersAddress;
     options.maxSessions = settings.maximumSessions;
+    options.maxMemory = boundOfHeldBytes(settings.memoryMegabytes * BytesPerMegabyte, 0);
     options.limits.headerBytes = settings.maximumHeaderBytes;
     options.limits.bodyBytes = settings.maximumBodyBytes;
     options.limits.idleTimeout = settings.idleSession;
@@ -26,7 +42,8 @@
 }
 
 TrafficThread::TrafficThread(const Settings& settings, Dependencies givenParts)
-    : readinessAddress(settings.readinessAddress)
+    : machineBytes(settings.memoryMegabytes * BytesPerMegabyte)
+    , readinessAddress(settings.readinessAddress)
     , relayAddress(settings.relayAddress)
     , dependencies(givenParts)
     , work(asio::make_work_guard(this->context))
@@ -93,6 +110,13 @@
     });
 }
 
+void TrafficThread::boundMemory()
+{
+    const std::size_t resident = residentBytes();
+    const std::size_t other = resident - std::min(resident, this->forwarder.heldBytes());
+    this->forwarder.setMaxMemory(boundOfHeldBytes(this->machineBytes, other));
+}
+
 void TrafficThread::scheduleTending()
 {
     this->tending.expires_after(toDuration(TendingInterval));
@@ -100,6 +124,7 @@
         if (error)
             return;
         this->forwarder.runMaintenance();
+        this->boundMemory();
         this->readiness.tend();
         this->scheduleTending();
     });
--- a/Source/Program/TrafficThread.h
+++ b/Source/Program/TrafficThread.h
@@ -46,7 +46,10 @@
 
 private:
     void scheduleTending();
+    /** Sets the bound on held bytes to what the machine's memory leaves beside all else that the process uses. */
+    void boundMemory();
 
+    std::size_t machineBytes; // memory of the machine
     NetworkAddress readinessAddress;
     NetworkAddress relayAddress;
     Dependencies dependencies;
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -38,6 +38,9 @@
     NetworkAddress storeAddress;
     std::vector<NetworkAddress> seeds; // peer addresses of other instances
 
+    /** Of the machine, for the whole process; the default is that of the smallest machines in use. */
+    std::size_t memoryMegabytes = 160;
+
     std::size_t maximumSessions = 4000;
     std::size_t maximumHeaderBytes = 8192;
     std::size_t maximumBodyBytes = 1048576;
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr NumberRange MemoryRange{ .lowest = 32, .highest = 1048576 };
 constexpr NumberRange SessionRange{ .lowest = 1, .highest = 100000 };
 constexpr NumberRange HeaderRange{ .lowest = 1024, .highest = 1048576 };
 constexpr NumberRange BodyRange{ .lowest = 1024, .highest = 67108864 };
@@ -35,6 +36,12 @@
     section.finish();
 }
 
+void readMachine(SettingsSection section, Settings& settings)
+{
+    section.optionalSize("memoryMegabytes", MemoryRange, settings.memoryMegabytes);
+    section.finish();
+}
+
 void readListen(SettingsSection section, Settings& settings)
 {
     section.requiredAddress("callers", settings.callersAddress);
@@ -127,6 +134,7 @@
     }
     SettingsSection root(document, "", result.findings);
     readInstance(root.section("instance"), result.settings);
+    readMachine(root.section("machine"), result.settings);
     readListen(root.section("listen"), result.settings);
     root.optionalText("dialect", result.settings.dialect);
     readStore(root.section("store"), result.settings);
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/RetryAfterDelay.h"
 #include "Base/ChronoDuration.h"
+#include "Http/HeldBody.h"
 #include "Traffic/ConnectError.h"
 #include "Traffic/StableFields.h"
 
@@ -23,7 +24,14 @@
 
 RefusalReason reasonOf(HttpRequestProblem problem)
 {
-    return problem == HttpRequestProblem::BodyTooLarge ? RefusalReason::BodyTooLarge : RefusalReason::BadRequest;
+    switch (problem) {
+    case HttpRequestProblem::BodyTooLarge:
+        return RefusalReason::BodyTooLarge;
+    case HttpRequestProblem::MemoryFull:
+        return RefusalReason::MemoryFull;
+    default:
+        return RefusalReason::BadRequest;
+    }
 }
 
 http::status statusOf(HttpRequestProblem problem)
@@ -35,6 +43,8 @@
         return http::status::payload_too_large;
     case HttpRequestProblem::TooSlow:
         return http::status::request_timeout;
+    case HttpRequestProblem::MemoryFull:
+        return http::status::service_unavailable;
     case HttpRequestProblem::Malformed:
         break;
     }
@@ -50,9 +60,10 @@
     , listener(givenContext, *this, *givenParts.clock)
     , acceptTimer(givenContext)
     , connections({}, *givenParts.clock)
-    , answerMemory(std::make_shared<AnswerMemory>(this->options.maxAnswerMemory))
+    , memory(std::make_shared<MemoryBound>(this->options.maxMemory))
 {
     this->listener.setLimits(this->options.limits);
+    this->listener.setMemory(this->memory);
     this->listener.setMaxSessions(this->options.maxSessions);
 }
 
@@ -73,6 +84,8 @@
     this->listener.closeExpiredSessions();
     this->connections.closeExpired();
     this->dependencies.metrics->openSessions = this->listener.sessions();
+    this->dependencies.metrics->heldBytes = this->memory->total();
+    this->dependencies.metrics->droppedForMemory = this->memory->dropped();
     this->dependencies.metrics->sessionsRefused = this->listener.refusedSessions();
 }
 
@@ -90,7 +103,10 @@
     event.requestId = fields.requestId;
     if (fields.timeLeft)
         event.timeLeft = std::max(Milliseconds{}, *fields.timeLeft - (now - read.readAt));
-    auto body = std::make_shared<const HttpBody>(std::move(message.body()));
+    auto body = holdBody(std::move(message.body()), this->memory);
+    // Its session may have given way to it, with what its caller has sent ahead.
+    if (!session->isOpen())
+        return;
     event.bodyBytes = body->size();
     event.caller = session->caller();
     event.credential = fields.credential;
@@ -125,6 +141,12 @@
     const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem)
 {
     this->dependencies.sink->post(RefusedEarly{ .reason = reasonOf(problem) });
+    if (problem == HttpRequestProblem::MemoryFull)
+        return session->answer(request,
+            this->dependencies.dialect->makeRefusal({ .outcome = RefusedOutcome::NotRun,
+                                                        .reason = RefusalReason::MemoryFull,
+                                                        .retryAfter = DefaultRetryAfter },
+                {}));
     session->answer(request, HttpResponse(statusOf(problem), HttpVersion));
 }
 
@@ -201,7 +223,7 @@
     exchange.request = std::move(encoded.head);
     exchange.body = std::move(encoded.body);
     exchange.requestId = request.requestId;
-    exchange.memory = this->answerMemory;
+    exchange.memory = this->memory;
     exchange.isHeadRequest = request.message.method() == http::verb::head;
     exchange.connectTimeout = this->options.connectTimeout;
     exchange.match = [dialect = this->dependencies.dialect, id = request.requestId](
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -46,8 +46,8 @@
         Milliseconds callerCheckInterval{ 20 };
         /** Longest idle time of a kept connection on which a run-once request may be sent. */
         Milliseconds maxIdleForRunOnce{ 1000 };
-        /** For the bodies of all answers while they are received; one answer of the largest size fits. */
-        std::size_t maxAnswerMemory = 67108864;
+        /** In bytes, for all that callers and servers make the instance hold; one body of the largest size fits. */
+        std::size_t maxMemory = 100000000;
     };
 
     struct Dependencies {
@@ -79,6 +79,9 @@
     void execute(const CheckServer& action);
     void execute(const SetCallerLimits& action);
 
+    /** Bounds the bytes that callers and servers make the instance hold, from now on. */
+    void setMaxMemory(std::size_t bytes) { this->memory->setMaxBytes(bytes); }
+    std::size_t heldBytes() const { return this->memory->total(); }
     std::size_t openRequests() const { return this->requests.size(); }
 
 private:
@@ -131,7 +134,7 @@
     HttpListener listener;
     Timer acceptTimer;
     HttpConnectionPool connections;
-    std::shared_ptr<AnswerMemory> answerMemory;
+    std::shared_ptr<MemoryBound> memory;
     UnreadFields unreadFields;
     std::unordered_map<RequestNumber, Request> requests;
     std::unordered_multimap<std::uint64_t, RequestNumber> requestsBySession;
--- a/Tests/Crowds/PlayCrowd.cpp
+++ b/Tests/Crowds/PlayCrowd.cpp
@@ -292,7 +292,8 @@
     const ProcessLoad most = watch.most();
     const std::size_t peak = std::max(most.memoryBytes, instance.peakMemory());
     constexpr std::size_t megabyte = 1000000;
-    result.seen = std::to_string(peak / megabyte) + " MB, " + std::to_string(most.descriptors) + " descriptors";
+    result.seen = std::to_string(peak / megabyte) + " MB (resident " + std::to_string(instance.peakMemory() / megabyte)
+        + "), " + std::to_string(most.descriptors) + " descriptors";
     if (!instance.isRunning())
         result.broken.emplace_back("the process has ended");
     if (peak > MaxProcessBytes)
--- a/Tests/Platform/EndlessAnswersTest.cpp
+++ b/Tests/Platform/EndlessAnswersTest.cpp
@@ -168,13 +168,13 @@
 // The sum of the bodies is bounded, so one caller's large answer must not be taken for one without end.
 TEST(EndlessAnswers, DoNotCostLargeAnswersWithADeclaredLength)
 {
-    AnswerMemory memory(1000);
-    struct Holder final : AnswerHolder {
+    MemoryBound memory(1000);
+    struct Holder final : MemoryHolder {
         bool isDeclared = false;
         bool wasDropped = false;
 
-        bool hasDeclaredLength() const override { return this->isDeclared; }
-        void dropAnswer() override { this->wasDropped = true; }
+        DropOrder dropOrder() const override { return this->isDeclared ? DropOrder::Late : DropOrder::Usual; }
+        void dropBytes() override { this->wasDropped = true; }
     };
     Holder declared;
     declared.isDeclared = true;
