At the bound of sessions a new connection takes the place of the least useful one

100 connections that stayed silent or stopped in the middle of a request, where 64 were allowed, kept every ordinary caller out for as long as header_timeout and idle_timeout let them: their connections were closed at once.

Cause: at /sessions/maximum HttpListener closed the new connection, whatever the others did. Ruled out: the time limits, which work and are as long as callers inside the limits need; a lower one would only make a crowd reconnect.

Change: the least useful connection gives way, in the order of CloseOrder; connections with whole requests never do. A request that stops short of its end is answered 503 too_many_sessions, as not run, before. sessions_displaced counts. An accept that fails is repeated after 50 ms in place of at once.

Failed before, pass now: CrowdHalfHeads, CrowdSilentConnections, CrowdStalledBodies (one run each). HttpListener, GoneCallers, RequestForwarder and PlannedStop pass.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -1,5 +1,7 @@
 #include "Http/HttpListener.h"
 
+#include "Base/ChronoDuration.h"
+
 #include <array>
 #include <linux/filter.h>
 #include <sys/socket.h>
@@ -15,6 +17,8 @@
  * long, no caller is assumed to be connecting.
  */
 constexpr Milliseconds MinIdleTime{ 200 };
+/** After an accept that failed, before the next one. */
+constexpr Milliseconds AcceptPause{ 50 };
 
 /**
  * Attaches a socket filter that drops SYN segments and no others, so that no
@@ -44,6 +48,7 @@
 
 HttpListener::HttpListener(asio::io_context& context, HttpSessionHandler& givenHandler, const Clock& givenClock)
     : acceptor(context)
+    , acceptPause(context)
     , handler(&givenHandler)
     , clock(&givenClock)
 {
@@ -80,7 +85,21 @@
         // Kept even if the listener was closed meanwhile: destroying the socket would reset the connection.
         if (!error)
             this->accepted(std::move(socket), this->nextCaller);
-        if (this->acceptor.is_open())
+        if (!this->acceptor.is_open())
+            return;
+        if (error)
+            return this->acceptLater();
+        this->accept();
+    });
+}
+
+void HttpListener::acceptLater()
+{
+    // Without a free descriptor every accept fails at once, and the connection goes on waiting.
+    this->closeLeastUseful();
+    this->acceptPause.expires_after(toDuration(AcceptPause));
+    this->acceptPause.async_wait([this](const asio::error_code& error) {
+        if (!error && this->acceptor.is_open())
             this->accept();
     });
 }
@@ -89,7 +108,7 @@
 {
     if (this->openSessions.size() >= this->maxSessions)
         this->removeClosed();
-    if (this->openSessions.size() >= this->maxSessions) {
+    if (this->openSessions.size() >= this->maxSessions && !this->closeLeastUseful()) {
         ++this->refusedCount;
         this->handler->sessionRefused();
         return;
@@ -113,6 +132,29 @@
     });
 }
 
+bool HttpListener::closeLeastUseful()
+{
+    const Milliseconds now = this->clock->now();
+    std::shared_ptr<HttpSession> chosen;
+    std::pair most{ CloseOrder::Never, Milliseconds{} };
+    for (const auto& [number, item] : this->openSessions) {
+        auto session = item.lock();
+        if (!session || !session->isOpen())
+            continue;
+        const std::pair rank{ session->closeOrder(now), now - session->lastActiveAt() };
+        if (rank.first == CloseOrder::Never || rank <= most)
+            continue;
+        chosen = std::move(session);
+        most = rank;
+    }
+    if (!chosen)
+        return false;
+    ++this->displacedCount;
+    this->openSessions.erase(chosen->number());
+    chosen->giveWay();
+    return true;
+}
+
 void HttpListener::acceptPending()
 {
     asio::error_code error;
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Base/NetworkAddress.h"
 #include "Http/HttpSession.h"
+#include "Timers/Timer.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -27,7 +28,7 @@
     void setLimits(const HttpSessionLimits& next) { this->limits = next; }
     /** Bounds what the sessions that are accepted from now on hold. */
     void setMemory(std::shared_ptr<MemoryBound> bound) { this->memory = std::move(bound); }
-    /** Further connections are closed at once. */
+    /** A further connection takes the place of the least useful session; it is closed at once if there is none. */
     void setMaxSessions(std::size_t most) { this->maxSessions = most; }
     /**
      * Drops attempts to connect from now on; connections that are already being
@@ -53,16 +54,23 @@
     bool hasRecentConnection() const;
     std::size_t sessions() const { return this->openSessions.size(); }
     std::uint64_t refusedSessions() const { return this->refusedCount; }
+    /** The number of sessions that were closed to make room for others. */
+    std::uint64_t displacedSessions() const { return this->displacedCount; }
 
 private:
     void accept();
+    /** Goes on accepting after a pause. */
+    void acceptLater();
     void accepted(asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& from);
     /** Accepts all connections that wait to be accepted, without blocking. */
     void acceptPending();
     void removeClosed();
+    /** Closes the least useful session, to make room for another one; returns false if none may be closed. */
+    bool closeLeastUseful();
     bool isIdleLongEnough(const HttpSession& session) const;
 
     asio::ip::tcp::acceptor acceptor;
+    Timer acceptPause; // after a failed accept
     asio::ip::tcp::endpoint nextCaller; // address of the connection that is accepted next
     HttpSessionHandler* handler;
     const Clock* clock;
@@ -71,6 +79,7 @@
     std::size_t maxSessions = 4000;
     std::uint64_t lastNumber = 0;
     std::uint64_t refusedCount = 0;
+    std::uint64_t displacedCount = 0;
     Milliseconds acceptedAt = LongAgo; // time at which the newest session was accepted
     bool closesAfterAnswers = false;
     bool isAccepting = false;
--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds LingerTime{ 3000 };
 /** A session without progress for this long gives way before others. */
 constexpr Milliseconds StallTime{ 1000 };
+/** The caller of a session that was active within this time may be about to send a request. */
+constexpr Milliseconds RecentTime{ 200 };
 /** In bytes. Sessions that hold less are not counted: buffers of this size belong to each session. */
 constexpr std::size_t UncountedBytes = 4096;
 /** What may have arrived on a connection and is not read: the kernel keeps twice the size that was set. */
@@ -95,6 +97,31 @@
         this->abandon();
 }
 
+CloseOrder HttpSession::closeOrder(Milliseconds now) const
+{
+    const Milliseconds quiet = now - this->lastActive;
+    const bool isStalled = quiet >= StallTime;
+    if (this->completeRequest || this->answers.hasUnanswered())
+        return CloseOrder::Never;
+    if (this->isWriting())
+        return isStalled ? CloseOrder::Stalled : CloseOrder::Never;
+    if (this->isClosing)
+        return CloseOrder::Answered;
+    if (this->requestBeganAt == Never)
+        return quiet >= RecentTime ? CloseOrder::Idle : CloseOrder::Never;
+    if (isStalled)
+        return CloseOrder::Stalled;
+    return now - this->requestBeganAt >= StallTime ? CloseOrder::Receiving : CloseOrder::Never;
+}
+
+void HttpSession::giveWay()
+{
+    // The refusal is written at once, as far as the connection takes it.
+    if (this->requestBeganAt != Never && !this->isUnfinished() && !this->isClosing)
+        this->reportUnreadable(HttpRequestProblem::TooManySessions);
+    this->close();
+}
+
 void HttpSession::noteMemory()
 {
     if (!this->memory)
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -27,6 +27,7 @@
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
+    TooManySessions, // its connection gives way to another one
     MemoryFull, // what callers and servers make this process hold takes too much memory, and this request gives way
     TooSlow // the header was not complete within the time limit
 };
@@ -63,6 +64,15 @@
     virtual void callerGone(const std::shared_ptr<HttpSession>& session) = 0;
 };
 
+/** How readily a session is closed to make room for a new one, from last to first. */
+enum class CloseOrder {
+    Never, // a request waits or is at work, or the session has just become idle
+    Receiving, // a request has been arriving for some time
+    Idle,
+    Stalled, // a request stops short of its end, or the caller does not take its answer
+    Answered // the last answer was written, and the caller has not closed
+};
+
 /** Limits on the size of a caller's requests and on the time that the caller may take. */
 struct HttpSessionLimits {
     std::size_t headerBytes = 8192;
@@ -116,6 +126,10 @@
      */
     bool endIfCallerLeft();
 
+    CloseOrder closeOrder(Milliseconds now) const;
+    /** Closes the connection to make room for another one. A request that is not complete is refused as not run. */
+    void giveWay();
+
     std::uint64_t number() const { return this->sessionNumber; }
     const std::string& caller() const { return this->callerAddress; }
     bool isOpen() const { return this->socket.is_open(); }
--- a/Source/Metrics/TrafficMetrics.h
+++ b/Source/Metrics/TrafficMetrics.h
@@ -28,6 +28,7 @@
     std::atomic<std::uint64_t> openRelays{ 0 }; // connections relayed for other instances
     std::atomic<std::uint64_t> openSessions{ 0 };
     std::atomic<std::uint64_t> sessionsRefused{ 0 };
+    std::atomic<std::uint64_t> sessionsDisplaced{ 0 }; // closed to make room for others
     std::atomic<std::uint64_t> peerBytesSent{ 0 };
     std::atomic<std::uint64_t> peerBytesReceived{ 0 };
     std::atomic<std::uint64_t> peerMessagesSent{ 0 };
--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -74,6 +74,7 @@
     add(answer, "log_lines_dropped", "", static_cast<double>(traffic.logLinesLeftOut));
     add(answer, "open_sessions", "", static_cast<double>(traffic.openSessions));
     add(answer, "sessions_refused", "", static_cast<double>(traffic.sessionsRefused));
+    add(answer, "sessions_displaced", "", static_cast<double>(traffic.sessionsDisplaced));
     add(answer, "peer_bytes_sent", "", static_cast<double>(traffic.peerBytesSent));
     add(answer, "peer_bytes_received", "", static_cast<double>(traffic.peerBytesReceived));
     add(answer, "peer_messages_sent", "", static_cast<double>(traffic.peerMessagesSent));
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -29,6 +29,8 @@
         return RefusalReason::BodyTooLarge;
     case HttpRequestProblem::MemoryFull:
         return RefusalReason::MemoryFull;
+    case HttpRequestProblem::TooManySessions:
+        return RefusalReason::TooManySessions;
     default:
         return RefusalReason::BadRequest;
     }
@@ -44,6 +46,7 @@
     case HttpRequestProblem::TooSlow:
         return http::status::request_timeout;
     case HttpRequestProblem::MemoryFull:
+    case HttpRequestProblem::TooManySessions:
         return http::status::service_unavailable;
     case HttpRequestProblem::Malformed:
         break;
@@ -86,6 +89,7 @@
     this->dependencies.metrics->openSessions = this->listener.sessions();
     this->dependencies.metrics->heldBytes = this->memory->total();
     this->dependencies.metrics->droppedForMemory = this->memory->dropped();
+    this->dependencies.metrics->sessionsDisplaced = this->listener.displacedSessions();
     this->dependencies.metrics->sessionsRefused = this->listener.refusedSessions();
 }
 
@@ -141,11 +145,10 @@
     const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem)
 {
     this->dependencies.sink->post(RefusedEarly{ .reason = reasonOf(problem) });
-    if (problem == HttpRequestProblem::MemoryFull)
+    if (statusOf(problem) == http::status::service_unavailable)
         return session->answer(request,
-            this->dependencies.dialect->makeRefusal({ .outcome = RefusedOutcome::NotRun,
-                                                        .reason = RefusalReason::MemoryFull,
-                                                        .retryAfter = DefaultRetryAfter },
+            this->dependencies.dialect->makeRefusal(
+                { .outcome = RefusedOutcome::NotRun, .reason = reasonOf(problem), .retryAfter = DefaultRetryAfter },
                 {}));
     session->answer(request, HttpResponse(statusOf(problem), HttpVersion));
 }
