Connections of each kind are bounded by the descriptors of the process

With as many connections as the process may open descriptors, at the port for callers, for instances or for readiness, an instance could neither accept nor connect to a server: ordinary callers got nothing until the crowd's time limits had passed.

Cause: 4,000 callers' connections with 4,100 descriptors leave none for servers, the store and other instances, and the ports for instances and readiness had no bound that fits.

Instances' connections give way at their bound, first those that have sent no message.

--- a/Source/Peers/PeerServer.cpp
+++ b/Source/Peers/PeerServer.cpp
@@ -1,5 +1,8 @@
 #include "Peers/PeerServer.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace burlreach {
 
 PeerServer::PeerServer(asio::io_context& context, PeerMessageHandler& givenHandler, TrafficMetrics& givenMetrics)
@@ -31,16 +34,36 @@
     this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
         if (!this->acceptor.is_open())
             return;
-        if (!error) {
-            const auto session = std::make_shared<PeerServerSession>(std::move(socket), *this->handler, *this->metrics);
-            session->open();
-            std::erase_if(this->sessions, [](const auto& item) { return item.expired(); });
-            this->sessions.push_back(session);
-        }
+        if (!error)
+            this->accepted(std::move(socket));
         this->accept();
     });
 }
 
+void PeerServer::accepted(asio::ip::tcp::socket socket)
+{
+    const auto session = std::make_shared<PeerServerSession>(std::move(socket), *this->handler, *this->metrics);
+    session->open();
+    std::erase_if(this->sessions, [](const auto& item) { return item.expired(); });
+    if (this->sessions.size() >= this->maxSessions)
+        this->closeLeastUseful();
+    this->sessions.push_back(session);
+}
+
+void PeerServer::closeLeastUseful()
+{
+    const auto hasSentNothing = [](const std::weak_ptr<PeerServerSession>& item) {
+        const auto session = item.lock();
+        return !session || !session->messages();
+    };
+    auto chosen = std::find_if(this->sessions.begin(), this->sessions.end(), hasSentNothing);
+    if (chosen == this->sessions.end())
+        chosen = this->sessions.begin();
+    if (const auto session = chosen->lock())
+        session->close();
+    this->sessions.erase(chosen);
+}
+
 void PeerServer::close()
 {
     asio::error_code ignored;
--- a/Source/Peers/PeerServerSession.cpp
+++ b/Source/Peers/PeerServerSession.cpp
@@ -24,6 +24,7 @@
 {
     peers::PeerMessage message;
     const bool isValid = message.ParseFromString(this->received[stream]);
+    this->messageCount += isValid ? 1 : 0;
     this->submitStatus(stream, isValid ? "204" : "400");
     if (isValid)
         this->handler->peerMessageReceived(std::move(message));
--- a/Source/Program/Instance.cpp
+++ b/Source/Program/Instance.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ChronoDuration.h"
 #include "Program/ConfigurationView.h"
+#include "Program/ConnectionLimits.h"
 #include "Program/EarlySignals.h"
 #include "Program/ListenerStop.h"
 #include "Program/MetricsText.h"
@@ -92,6 +93,7 @@
     , operators(givenSettings.operatorsAddress, *this, *this)
     , stop({ .lead = givenSettings.stopReadinessLead, .bound = givenSettings.stopBound })
 {
+    this->peerServer.setMaxSessions(connectionLimits(givenSettings.descriptors).peers);
 }
 
 void Instance::post(const Event& event)
--- a/Source/Program/ReadinessPages.h
+++ b/Source/Program/ReadinessPages.h
@@ -15,6 +15,7 @@
     ReadinessPages(asio::io_context& context, std::string path, const InstanceReader& reader, const Clock& clock);
 
     std::error_code listen(const NetworkAddress& address);
+    void setMaxSessions(std::size_t most) { this->listener.setMaxSessions(most); }
     void tend() { this->listener.closeExpiredSessions(); }
     void stop() { this->listener.stopAccepting(); }
 
--- a/Source/Program/TrafficThread.cpp
+++ b/Source/Program/TrafficThread.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ChronoDuration.h"
 #include "Base/ResidentMemory.h"
+#include "Program/ConnectionLimits.h"
 
 #include <algorithm>
 #include <asio/dispatch.hpp>
@@ -27,11 +28,16 @@
     return std::max(machineBytes - std::min(machineBytes, taken), LeastHeldBytes);
 }
 
+std::size_t relaySessions(const Settings& settings)
+{
+    return std::min(RelayServer::Options{}.mostSessions, connectionLimits(settings.descriptors).relays);
+}
+
 RequestForwarder::Options deskOptions(const Settings& settings)
 {
     RequestForwarder::Options options;
     options.address = settings.callersAddress;
-    options.maxSessions = settings.maximumSessions;
+    options.maxSessions = std::min(settings.maximumSessions, connectionLimits(settings.descriptors).callers);
     options.maxMemory = boundOfHeldBytes(settings.memoryMegabytes * BytesPerMegabyte, 0);
     options.limits.headerBytes = settings.maximumHeaderBytes;
     options.limits.bodyBytes = settings.maximumBodyBytes;
@@ -55,9 +61,11 @@
               .sink = givenParts.sink,
               .repeats = givenParts.repeats,
               .metrics = givenParts.metrics })
-    , relays(this->context, {}, { .sink = givenParts.sink, .metrics = givenParts.metrics })
+    , relays(this->context, { .mostSessions = relaySessions(settings) },
+          { .sink = givenParts.sink, .metrics = givenParts.metrics })
     , readiness(this->context, settings.readinessPath, *givenParts.reader, *givenParts.clock)
 {
+    this->readiness.setMaxSessions(connectionLimits(settings.descriptors).readiness);
 }
 
 TrafficThread::~TrafficThread()
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -40,6 +40,7 @@
 
     /** Of the machine, for the whole process; the default is that of the smallest machines in use. */
     std::size_t memoryMegabytes = 160;
+    std::size_t descriptors = 0; // that the process may open; 0: the limit that it was started with
 
     std::size_t maximumSessions = 4000;
     std::size_t maximumHeaderBytes = 8192;
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr NumberRange MemoryRange{ .lowest = 32, .highest = 1048576 };
+constexpr NumberRange DescriptorRange{ .lowest = 64, .highest = 10000000 };
 constexpr NumberRange SessionRange{ .lowest = 1, .highest = 100000 };
 constexpr NumberRange HeaderRange{ .lowest = 1024, .highest = 1048576 };
 constexpr NumberRange BodyRange{ .lowest = 1024, .highest = 67108864 };
@@ -39,6 +40,7 @@
 void readMachine(SettingsSection section, Settings& settings)
 {
     section.optionalSize("memoryMegabytes", MemoryRange, settings.memoryMegabytes);
+    section.optionalSize("descriptors", DescriptorRange, settings.descriptors);
     section.finish();
 }
 
