A caller that takes a large answer slowly is not idle

A caller that takes nothing of its answer, with another answer waiting behind it, was on the other hand never cut off.

Cause: the end of a write, which may take long, was the only progress that counted, and any further answer in the queue stopped the clock. Ruled out: the route's time, which ends with the answer's arrival.

Change: each part that the connection takes counts as progress, and only requests that have no answer yet stop the clock.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpSession.h"
 
+#include <asio/completion_condition.hpp>
 #include <asio/write.hpp>
 #include <cerrno>
 #include <poll.h>
@@ -341,7 +342,12 @@
     std::vector<asio::const_buffer> buffers;
     for (const EncodedMessage& message : this->output.messages)
         addBuffers(message, buffers);
-    asio::async_write(this->socket, buffers,
+    // A caller that takes its answer slowly is not idle.
+    const auto notingProgress = [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+        self->lastActive = self->clock->now();
+        return asio::transfer_all()(error, size);
+    };
+    asio::async_write(this->socket, buffers, notingProgress,
         [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->written(error); });
 }
 
@@ -369,7 +375,7 @@
     // While too much is unread nothing is read, so that the end of the connection is not seen.
     if (!this->isReading && this->isUnfinished() && this->endIfCallerLeft())
         return;
-    if (!this->socket.is_open() || !this->answers.isEmpty())
+    if (!this->socket.is_open() || this->answers.hasUnanswered())
         return;
     if (now >= this->lingersUntil)
         return this->close();
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -116,8 +116,8 @@
     void closeAfterAnswer() { this->closesAfterNewest = true; }
     void close();
     /**
-     * Ends an idle connection, one whose caller left, and refuses a request whose header is incomplete, once its time
-     * limit has passed.
+     * Ends an idle connection or one whose caller takes nothing of its answer, one whose caller left, and refuses a
+     * request whose header is incomplete, once its time limit has passed.
      */
     void enforceTimeLimits(Milliseconds now);
     /**
