An answer that its caller is taking gives way last; early answers in CallerCrowds

Cause: an answer that is being taken and one that arrives with a declared length had the same order, so the larger one gave way. Change: DropOrder::Last.

CrowdEarlyAnswers plays the users' incident with whole processes: a server answers an upload at once without a length, sends part of the body and resets. Refusals that name no request are compared with the runs of their caller's only request, so that an untrue one shows. MemoryBound has a row.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -82,11 +82,11 @@
 {
     // Whole requests that came before the refused one are at work.
     if (this->isRefused || this->isClosing)
-        return this->answers.hasUnanswered() ? DropOrder::Late : DropOrder::Early;
+        return this->answers.hasUnanswered() ? DropOrder::Last : DropOrder::Early;
     const bool isStalled = this->clock->now() - this->lastActive >= StallTime;
     if (this->holdsRequest())
         return isStalled ? DropOrder::Early : DropOrder::Usual;
-    return isStalled && this->isWriting() ? DropOrder::Early : DropOrder::Late;
+    return isStalled && this->isWriting() ? DropOrder::Early : DropOrder::Last;
 }
 
 void HttpSession::dropBytes()
--- a/Source/Http/MemoryHolder.h
+++ b/Source/Http/MemoryHolder.h
@@ -4,7 +4,8 @@
 
 /** When a holder of bytes gives way to others, from last to first. */
 enum class DropOrder {
-    Late, // it will end, and others wait for it
+    Last, // a caller has taken part of it, or whole requests depend on it
+    Late, // it will end
     Usual,
     Early // it makes no progress
 };
--- a/Tests/Crowds/Crowd.cpp
+++ b/Tests/Crowds/Crowd.cpp
@@ -194,7 +194,10 @@
 {
     std::vector<CrowdAnswer> answers;
     for (const auto& caller : this->callers) {
-        const CrowdAnswer answer = answerOf(caller->beginning);
+        CrowdAnswer answer = answerOf(caller->beginning);
+        // A refusal of what was not read whole does not name its request.
+        if (answer.id.empty() && caller->script.ids.size() == 1)
+            answer.id = caller->script.ids.front();
         if (answer.status)
             answers.push_back(answer);
     }
--- a/Tests/Crowds/CrowdCase.cpp
+++ b/Tests/Crowds/CrowdCase.cpp
@@ -83,6 +83,7 @@
             .mayRepeat = true,
             .answerBytes = 60 * Megabyte,
             .mustBeServed = true },
+        { .name = "EarlyAnswers", .callers = 6, .bodyBytes = 12 * Megabyte, .answersUploadsEarly = true },
         { .name = "UnreadAnswers",
             .callers = 12,
             .framing = CrowdFraming::NoBody,
--- a/Tests/Crowds/CrowdCase.h
+++ b/Tests/Crowds/CrowdCase.h
@@ -47,6 +47,7 @@
     std::size_t maxBodyBytes = 16777216; // of the configuration
     std::size_t sessions = 0; // of the settings; 0: the default
     std::size_t descriptors = 0; // that the process may open; 0: as many as the test
+    bool answersUploadsEarly = false; // the server answers in part, without a length, and resets the connection
     bool mustBeServed = false; // every caller of the crowd gets a whole answer of the server
 };
 
--- a/Tests/Crowds/PlayCrowd.cpp
+++ b/Tests/Crowds/PlayCrowd.cpp
@@ -246,6 +246,8 @@
         if (!item.mayRepeat && server.runs(id) > 1)
             result.broken.push_back(id + " ran more than once");
     }
+    if (item.answersUploadsEarly && served)
+        result.broken.push_back(std::to_string(served) + " parts of answers passed for whole ones");
     if (item.mustBeServed && (served != item.callers || crowd.receivedBytes() < item.callers * item.answerBytes))
         result.broken.push_back("not all callers got the server's whole answer");
     result.seen += ", " + std::to_string(served) + " served and " + std::to_string(refused) + " refused of "
@@ -257,7 +259,9 @@
 CrowdResult playCrowd(const CrowdCase& item, const CrowdPlayOptions& options)
 {
     CrowdResult result;
-    SinkServer server({ .workTime = item.workTime, .answerBytes = item.answerBytes });
+    SinkServer server({ .workTime = item.workTime,
+        .answerBytes = item.answerBytes,
+        .answersUploadsEarly = item.answersUploadsEarly });
     PlatformStoreStandIn store;
     store.put("servers/i-sink", server.entry("s"));
     store.put("op/config", configuration(item.maxBodyBytes));
--- a/Tests/Crowds/SinkServer.cpp
+++ b/Tests/Crowds/SinkServer.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::size_t ReadSize = 65536;
+constexpr std::size_t UploadBytes = 1000000;
 constexpr const char* InstanceId = "i-sink";
 
 /** The value of a header field, or an empty text. */
@@ -103,10 +104,28 @@
             const std::size_t bodyBytes = length.empty() ? 0 : std::stoul(length);
             const std::size_t read = std::min(bodyBytes, session->input.size());
             session->input.consume(read);
+            if (this->options.answersUploadsEarly && bodyBytes > UploadBytes)
+                return this->answerEarly(session);
             this->readBody(session, bodyBytes - read);
         });
 }
 
+void SinkServer::answerEarly(const std::shared_ptr<Session>& session)
+{
+    asio::error_code ignored;
+    asio::write(session->socket,
+        asio::buffer("HTTP/1.1 200 OK\r\nRequest-Id: " + session->id + "\r\nServer-Signature: " + session->id
+            + ".signed\r\n\r\npart of the body"),
+        ignored);
+    constexpr std::chrono::milliseconds beforeReset{ 50 };
+    session->timer.expires_after(beforeReset);
+    session->timer.async_wait([session](const asio::error_code&) {
+        asio::error_code error;
+        session->socket.set_option(asio::socket_base::linger(true, 0), error);
+        session->socket.close(error);
+    });
+}
+
 void SinkServer::readBody(const std::shared_ptr<Session>& session, std::size_t left)
 {
     if (!left)
--- a/Tests/Crowds/SinkServer.h
+++ b/Tests/Crowds/SinkServer.h
@@ -23,6 +23,8 @@
     struct Options {
         std::chrono::milliseconds workTime{ 0 }; // from the end of a request to its answer
         std::size_t answerBytes = 2; // of the body of each answer
+        /** Answers uploads of more than a megabyte at once, without a length, and resets the connection. */
+        bool answersUploadsEarly = false;
     };
 
     explicit SinkServer(Options givenOptions);
@@ -43,6 +45,7 @@
     void readHead(const std::shared_ptr<Session>& session);
     void readBody(const std::shared_ptr<Session>& session, std::size_t left);
     void work(const std::shared_ptr<Session>& session);
+    void answerEarly(const std::shared_ptr<Session>& session);
     void answer(const std::shared_ptr<Session>& session);
 
     Options options;
--- a/Tests/Http/MemoryBoundTest.cpp
+++ b/Tests/Http/MemoryBoundTest.cpp
@@ -29,6 +29,7 @@
     const char* dropped; // numbers of the holdings, in the order in which they are dropped
 };
 
+constexpr DropOrder Last = DropOrder::Last;
 constexpr DropOrder Late = DropOrder::Late;
 constexpr DropOrder Usual = DropOrder::Usual;
 constexpr DropOrder Early = DropOrder::Early;
@@ -38,6 +39,7 @@
     { "the largest gives way", 0, { { Usual, 300 }, { Usual, 310 }, { Usual, 200 } }, "1" },
     { "one that makes no progress gives way first", 0, { { Usual, 400 }, { Early, 200 }, { Usual, 200 } }, "1" },
     { "one that will end gives way last", 0, { { Late, 600 }, { Usual, 90 }, { Usual, 80 } }, "1" },
+    { "an answer that is being taken gives way after one that arrives", 0, { { Last, 600 }, { Late, 110 } }, "1" },
     { "alone too large", 0, { { Late, 900 } }, "0" },
     { "small ones use the share kept for them", 0, { { Usual, 650 }, { Usual, 50 }, { Usual, 60 }, { Usual, 40 } },
         "0" },
