Soak: crowds of callers that don't behave; a line for each request that was not read

Checked besides the usual: an instance takes no more than 64 MB.

Operators could not tell such a crowd from the log: requests refused before they were read whole were only counted. They have a line request_not_read with reason and caller now, within the budget of lines on refusals.

--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -39,9 +39,10 @@
     RequestDigest digest; // when unknown, crashes during this request are not recorded
 };
 
-/** A request was refused before it reached the node; it is only counted. */
+/** A request was refused before it reached the node; it is counted, and logged if its caller is known. */
 struct RefusedEarly {
     RefusalReason reason = RefusalReason::TooManySessions;
+    std::string caller; // the caller's address, without the port; empty: not known
 };
 
 /** The caller closed its connection before its request was answered. */
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -107,10 +107,14 @@
     this->flow.arrived(event, now, actions);
 }
 
-void Node::dispatch(const RefusedEarly& event, Milliseconds, Actions&)
+void Node::dispatch(const RefusedEarly& event, Milliseconds, Actions& actions)
 {
     this->decisionCounters.add(event.reason);
     this->decisionCounters.add(DecisionCount::RefusedNotRun);
+    if (event.caller.empty())
+        return;
+    DecisionRecord record{ .topic = RecordTopic::Refusal, .event = "request_not_read", .subject = "", .fields = {} };
+    actions.emplace_back(record.with("reason", nameOf(event.reason)).with("caller", event.caller));
 }
 
 void Node::dispatch(const CallerGone& event, Milliseconds now, Actions& actions)
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -144,7 +144,7 @@
 void RequestForwarder::requestUnreadable(
     const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem)
 {
-    this->dependencies.sink->post(RefusedEarly{ .reason = reasonOf(problem) });
+    this->dependencies.sink->post(RefusedEarly{ .reason = reasonOf(problem), .caller = session->caller() });
     if (statusOf(problem) == http::status::service_unavailable)
         return session->answer(request,
             this->dependencies.dialect->makeRefusal(
--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -22,6 +22,9 @@
 constexpr int CalmSeconds = 2;
 /** The memory that the deployments' instances have. */
 constexpr std::size_t MaxInstanceBytes = 260000000;
+/** The memory of an instance's machine in runs with callers that don't behave, in megabytes. */
+constexpr std::size_t LittleMemory = 64;
+constexpr std::size_t BytesPerMegabyte = 1000000;
 /** A planned stop that is under way may take 10 s of this time. */
 constexpr Milliseconds SettlePatience{ 25000 };
 
@@ -78,7 +81,8 @@
         .servers = options.servers,
         .firstPort = options.firstPort,
         .hasCrashingRequest = hasCrashingRequest(seed),
-        .hasLongRequests = hasSpoiltAnswers(seed) });
+        .hasLongRequests = hasSpoiltAnswers(seed),
+        .memoryMegabytes = hasUnrulyCallers(seed) ? LittleMemory : 0 });
     if (!fleet.start())
         return { "the fleet did not start" };
     const std::vector<SoakStep> steps = planOf({ .seed = seed,
@@ -107,7 +111,8 @@
     const RetryCount retries = checker.checkRetries(SoakFleet::retryLimits());
     if (isPlannedOnly(seed) || hasSpoiltAnswers(seed))
         checker.checkNothingCut(told);
-    if (fleet.peakMemory() > MaxInstanceBytes)
+    const std::size_t mostBytes = hasUnrulyCallers(seed) ? LittleMemory * BytesPerMegabyte : MaxInstanceBytes;
+    if (fleet.peakMemory() > mostBytes)
         checker.note("an instance took " + std::to_string(fleet.peakMemory()) + " bytes of memory");
     if (hasServerWords(seed))
         checker.checkWords();
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -176,7 +176,10 @@
                 { "window", std::to_string(static_cast<int>(retries.window.count)) + "ms" } } },
         { "log", { { "format", "json" } } },
     };
-    std::ofstream(this->pathOf(name + ".json")) << settings.dump(1) << '\n';
+    nlohmann::json all = settings;
+    if (this->options.memoryMegabytes)
+        all["machine"]["memoryMegabytes"] = this->options.memoryMegabytes;
+    std::ofstream(this->pathOf(name + ".json")) << all.dump(1) << '\n';
 }
 
 bool SoakFleet::control(std::size_t instance, std::vector<std::string> words, const std::string& log) const
@@ -413,6 +416,9 @@
         return server.proxy->setFault(ProxyFault::Repeat);
     case SoakFault::ServerSendsEndlessly:
         return server.proxy->setFault(ProxyFault::Endless);
+    case SoakFault::UnrulyCallers:
+        instance.crowd = std::make_unique<UnrulyCallers>(this->port(Part::Callers, index), this->crowds++);
+        return;
     case SoakFault::Count:
         return;
     }
@@ -462,6 +468,8 @@
     case SoakFault::ServerRepeatsAnswers:
     case SoakFault::ServerSendsEndlessly:
         return server.proxy->setFault(ProxyFault::None);
+    case SoakFault::UnrulyCallers:
+        return instance.crowd.reset();
     case SoakFault::StopInstance: // tend() restarts the instance
     case SoakFault::ReloadInstance:
     case SoakFault::ResetCallers:
@@ -486,6 +494,7 @@
     }
     for (Instance& instance : this->instances) {
         instance.process->signal(SIGCONT);
+        instance.crowd.reset();
         instance.store->setFault(ProxyFault::None);
         if (!instance.process->isRunning())
             instance.process->start();
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -6,6 +6,7 @@
 #include "Tests/Soak/LoopbackProxy.h"
 #include "Tests/Soak/NewLives.h"
 #include "Tests/Soak/SoakPlan.h"
+#include "Tests/Soak/UnrulyCallers.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -32,6 +33,7 @@
         bool hasCrashingRequest = false; // runs a CrashingLoad, with instances that can be suspended
         /** Some requests take longer than a stop leaves them at its end, and all requests carry ids. */
         bool hasLongRequests = false;
+        std::size_t memoryMegabytes = 0; // of an instance's machine; 0: the program's default
     };
 
     explicit SoakFleet(const Options& options);
@@ -74,6 +76,7 @@
         std::unique_ptr<ChildProcess> process;
         std::unique_ptr<LoopbackProxy> callers;
         std::unique_ptr<LoopbackProxy> store;
+        std::unique_ptr<UnrulyCallers> crowd; // null: none
         bool isStopping = false;
         int suspendedMilliseconds = 0; // sum of all suspensions so far
     };
@@ -127,6 +130,7 @@
     std::vector<Instance> instances;
     std::vector<Server> backendServers;
     std::unique_ptr<ChildProcess> change; // the running configuration change
+    std::size_t crowds = 0; // so far
     NewLives newLives;
     std::size_t mostMemory = 0;
     std::unique_ptr<CrashingLoad> crashingLoad;
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -15,13 +15,14 @@
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
     "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
     "suspend-instance", "server-asks-pause", "server-names-limit", "server-sends-interim", "server-repeats-answers",
-    "server-sends-endlessly" };
+    "server-sends-endlessly", "unruly-callers" };
 /** Number of faults from which seeds below FirstSeedWithCrashes draw; their plans must stay reproducible. */
 constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
 constexpr std::uint64_t FirstSeedWithCrashes = 1000;
 constexpr std::uint64_t FirstSeedWithWords = 2000;
 constexpr std::uint64_t FirstSeedWithLimits = 3000;
 constexpr std::uint64_t FirstSeedWithSpoiltAnswers = 20000;
+constexpr std::uint64_t FirstSeedWithUnrulyCallers = 30000;
 /** Share of the faults that are reported limits. */
 constexpr double LimitShare = 0.5;
 /** Excludes faults that restart or pause instances, since such an instance may not have received a notice. */
@@ -36,6 +37,10 @@
 constexpr std::array<SoakFault, 8> BesideSpoiltAnswers{ SoakFault::StopInstance, SoakFault::StopInstance,
     SoakFault::ServerRepeatsAnswers, SoakFault::ServerRepeatsAnswers, SoakFault::ServerSendsInterim,
     SoakFault::ServerSendsEndlessly, SoakFault::ServerSheds, SoakFault::ChangeConfiguration };
+constexpr std::array<SoakFault, 12> BesideUnrulyCallers{ SoakFault::UnrulyCallers, SoakFault::UnrulyCallers,
+    SoakFault::UnrulyCallers, SoakFault::UnrulyCallers, SoakFault::StopInstance, SoakFault::KillInstance,
+    SoakFault::PauseInstance, SoakFault::KillServer, SoakFault::ServerSheds, SoakFault::StoreDown,
+    SoakFault::ResetCallers, SoakFault::ChangeConfiguration };
 constexpr std::array<SoakFault, 4> Planned{ SoakFault::StopInstance, SoakFault::ReloadInstance,
     SoakFault::ChangeConfiguration, SoakFault::LeavingServer };
 
@@ -50,6 +55,8 @@
 
 SoakFault drawFault(std::uint64_t seed, Random& random)
 {
+    if (hasUnrulyCallers(seed))
+        return BesideUnrulyCallers[random.below(BesideUnrulyCallers.size())];
     if (hasSpoiltAnswers(seed))
         return BesideSpoiltAnswers[random.below(BesideSpoiltAnswers.size())];
     if (hasNamedLimits(seed) && random.unit() < LimitShare)
@@ -76,22 +83,27 @@
 
 bool hasCrashingRequest(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithCrashes && !hasServerWords(seed) && !hasSpoiltAnswers(seed);
+    return seed >= FirstSeedWithCrashes && seed < FirstSeedWithWords;
 }
 
 bool hasServerWords(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithWords && !hasSpoiltAnswers(seed);
+    return seed >= FirstSeedWithWords && seed < FirstSeedWithSpoiltAnswers;
 }
 
 bool hasNamedLimits(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithLimits && !hasSpoiltAnswers(seed);
+    return seed >= FirstSeedWithLimits && seed < FirstSeedWithSpoiltAnswers;
 }
 
 bool hasSpoiltAnswers(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithSpoiltAnswers;
+    return seed >= FirstSeedWithSpoiltAnswers && seed < FirstSeedWithUnrulyCallers;
+}
+
+bool hasUnrulyCallers(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithUnrulyCallers;
 }
 
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -39,6 +39,7 @@
     ServerSendsInterim, // an interim answer without a name comes before each answer
     ServerRepeatsAnswers, // a second copy of each answer comes late, where the next answer on the connection is due
     ServerSendsEndlessly, // bytes without end come in place of answers
+    UnrulyCallers, // a crowd sends requests that stop short of their end, or many large ones, and stays connected
     Count
 };
 
@@ -77,6 +78,9 @@
  */
 bool hasSpoiltAnswers(std::uint64_t seed);
 
+/** True for a run with crowds of callers that don't behave, on instances with little memory. */
+bool hasUnrulyCallers(std::uint64_t seed);
+
 /** The steps of a seed, in order of time; steps may overlap, and the same fault may repeat in quick succession. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
