--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -103,6 +103,15 @@
     return "HTTP/1.1 " + status + "\r\nRequest-Id: r\r\n";
 }
 
+/** A request with a body that the buffers of a connection do not hold. */
+std::string largeUpload()
+{
+    constexpr std::size_t bodyBytes = 20000000;
+    std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    request.resize(request.size() + bodyBytes, 'b');
+    return request;
+}
+
 struct Case {
     const char* name;
     Script script;
@@ -245,11 +254,8 @@
             asio::io_context context;
             HttpExchangeResult result = HttpExchangeResult::NotSent;
             const auto exchange = std::make_shared<HttpExchange>(context,
-                HttpExchange::Options{ .address = server.address(),
-                    .request
-                    = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000000\r\n\r\n" + std::string(20000000, 'b'),
-                    .timeout = { 5000 },
-                    .match = &matchOwn },
+                HttpExchange::Options{
+                    .address = server.address(), .request = largeUpload(), .timeout = { 5000 }, .match = &matchOwn },
                 [&](const HttpExchangeEnd& end) { result = end.result; });
             exchange->start(nullptr);
             context.run();
@@ -266,10 +272,8 @@
     asio::io_context context;
     HttpExchangeResult result = HttpExchangeResult::NotSent;
     const auto exchange = std::make_shared<HttpExchange>(context,
-        HttpExchange::Options{ .address = server.address(),
-            .request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000000\r\n\r\n" + std::string(20000000, 'b'),
-            .timeout = { 5000 },
-            .match = &matchOwn },
+        HttpExchange::Options{
+            .address = server.address(), .request = largeUpload(), .timeout = { 5000 }, .match = &matchOwn },
         [&](const HttpExchangeEnd& end) { result = end.result; });
     exchange->start(nullptr);
     context.run();
