Sessions count their headers, and forget what they no longer hold

The header of a request was not counted once it was parsed, and a session whose last read filled the buffer was counted with unread bytes until its next read, also while it was idle.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpSession.h"
 
+#include <algorithm>
 #include <asio/completion_condition.hpp>
 #include <asio/write.hpp>
 #include <cerrno>
@@ -128,10 +129,11 @@
     if (!this->memory)
         return;
     const std::size_t bytes = this->socket.is_open() ? this->incomingBytes() + this->outgoingBytes() : 0;
-    if (bytes < UncountedBytes)
-        this->memory->remove(*this);
-    else
+    const bool wasCounted = std::exchange(this->isCounted, bytes >= UncountedBytes);
+    if (this->isCounted)
         this->memory->set(*this, bytes);
+    else if (wasCounted)
+        this->memory->remove(*this);
 }
 
 void HttpSession::start()
@@ -262,10 +264,11 @@
         if (this->requestBeganAt == Never)
             this->requestBeganAt = this->clock->now();
         boost::beast::error_code error;
+        const bool wasInHeader = !this->parser->is_header_done();
         const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
-        if (!this->parser->is_header_done())
-            this->headerBytes += used;
+        if (wasInHeader)
+            this->headerBytes = std::min(this->headerBytes + used, this->limits->headerBytes);
         if (error && error != http::error::need_more) {
             this->reportUnreadable(problemOf(error));
             return false;
@@ -372,6 +375,10 @@
 
 void HttpSession::enforceTimeLimits(Milliseconds now)
 {
+    if (this->hasMoreToRead && !this->hasUnreadBytes()) {
+        this->hasMoreToRead = false;
+        this->noteMemory();
+    }
     // While too much is unread nothing is read, so that the end of the connection is not seen.
     if (!this->isReading && this->isUnfinished() && this->endIfCallerLeft())
         return;
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -191,6 +191,7 @@
     std::array<char, ReadSize> chunk{};
     std::string input; // read, not yet parsed
     std::size_t headerBytes = 0; // parsed, of the request that is being read
+    bool isCounted = false; // holds enough to be counted against the bound on memory
     bool hasMoreToRead = false; // the last read was filled, so more has probably arrived
     ReadyAnswers output; // is being written
     bool isReading = false; // an asynchronous read is in progress
