DRAIN: what was not delivered of a request that is given up never is

Cause: the connection was closed in order, so the kernel went on delivering what had been written, after the cut too. Ruled out: attempts that are sent late.

Change: a connection whose request was given up or broke is reset, which drops what was not delivered; a relay passes this on to the server. Whole answers end as before.

HttpExchange has a test that failed before (the server read an orderly end in place of a reset).

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -322,7 +322,10 @@
         this->connection->noteCarried(this->options.requestId);
         end.connection = std::move(this->connection);
     }
-    this->closeConnection();
+    if (response)
+        this->closeConnection();
+    else
+        this->resetConnection();
     end.response = std::move(response);
     const Completion complete = std::move(this->completion);
     complete(std::move(end));
@@ -341,10 +344,18 @@
     this->isFinished = true;
     this->timer.cancel();
     this->leaveMemory();
-    this->closeConnection();
+    this->resetConnection();
     this->completion = nullptr;
 }
 
+void HttpExchange::resetConnection()
+{
+    asio::error_code ignored;
+    if (this->connection)
+        this->connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->closeConnection();
+}
+
 void HttpExchange::closeConnection()
 {
     if (!this->connection)
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -92,7 +92,7 @@
 
     /** Starts the exchange on this connection, or on a new one if it is null. */
     void start(std::shared_ptr<HttpConnection> kept);
-    /** Closes the connection; the completion is not called. */
+    /** Closes the connection, so that what was not delivered never will be; the completion is not called. */
     void cancel();
     /** Returns false while the connection is being made, when no byte of the request was sent. */
     bool hasBegunWriting() const { return this->isWritingBegun; }
@@ -127,6 +127,8 @@
     void finishBroken(AnswerProblem problem);
     bool mayReuseConnection(const HttpResponse& response) const;
     void leaveMemory();
+    /** Closes the connection by a reset: the kernel would otherwise deliver a request that was given up, even later. */
+    void resetConnection();
     void closeConnection();
 
     Options options;
--- a/Source/Traffic/RelaySession.cpp
+++ b/Source/Traffic/RelaySession.cpp
@@ -125,7 +125,9 @@
         [self = this->shared_from_this()](const asio::error_code& failure, std::size_t size) {
             if (self->isOver)
                 return;
-            // The other instance closes only when it abandons the request or has the whole answer.
+            // The other instance closes in order when it has the whole answer, and resets when it gives the request up.
+            if (failure && failure != asio::error::eof)
+                self->dropUndelivered();
             if (failure)
                 return self->end(false);
             self->restartTimer(IdleTimeout);
@@ -178,6 +180,12 @@
         [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->end(bool(error)); });
 }
 
+void RelaySession::dropUndelivered()
+{
+    asio::error_code ignored;
+    this->server->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void RelaySession::end(bool isReset)
 {
     if (std::exchange(this->isOver, true))
--- a/Source/Traffic/RelaySession.h
+++ b/Source/Traffic/RelaySession.h
@@ -53,6 +53,8 @@
     /** The server has ended its side; ends the session once the write to the server has ended too. */
     void serverEnded();
     void restartTimer(std::chrono::milliseconds duration);
+    /** Lets the end reset the connection to the server: what it has not got of the request is not delivered later. */
+    void dropUndelivered();
     /** Closes both connections; with `isReset`, by resets. */
     void end(bool isReset);
 
--- a/Tests/Http/HttpExchangeTest.cpp
+++ b/Tests/Http/HttpExchangeTest.cpp
@@ -368,6 +368,29 @@
     CHECK_FALSE(wasCalled);
 }
 
+// The kernel goes on delivering what was written to a connection that is closed, also seconds later, after a cut of the
+// network: requests that were given up reached servers that had left meanwhile.
+TEST(HttpExchange, WhatWasNotDeliveredOfARequestThatIsGivenUpNeverIs)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::ip::tcp::socket server(context);
+    acceptor.async_accept(server, [](const asio::error_code&) {});
+    const auto exchange = std::make_shared<HttpExchange>(context,
+        HttpExchange::Options{
+            .address = { .host = "127.0.0.1", .port = acceptor.local_endpoint().port() }, .request = largeUpload() },
+        [](const HttpExchangeEnd&) {});
+    exchange->start(nullptr);
+    context.run_for(std::chrono::milliseconds(100));
+    CHECK(server.is_open());
+    exchange->cancel();
+    std::string bytes(100000, ' ');
+    asio::error_code error;
+    while (!error)
+        server.read_some(asio::buffer(bytes), error);
+    CHECK_TEXT(error == asio::error::connection_reset, error.message().c_str());
+}
+
 TEST(HttpExchange, ThePoolSkipsConnectionsThatReceivedBytes)
 {
     const SteadyClock clock;
