A slow reader counts as stalled after five seconds without progress, not one

Cause: it counted as stalled after a second, but the kernel tells of a slow reader only when it has taken a good part of the send buffer. Change: five seconds for answers; a request that is being received still counts as stalled after one.

--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -26,8 +26,10 @@
 
 /** After the last answer, for as long what the caller still sends is read and dropped. */
 constexpr Milliseconds LingerTime{ 3000 };
-/** A session without progress for this long gives way before others. */
+/** A session that receives a request without progress for this long gives way before others. */
 constexpr Milliseconds StallTime{ 1000 };
+/** The same for an answer: the kernel tells of a slow reader only when it has taken a megabyte or so. */
+constexpr Milliseconds WriteStallTime{ 5000 };
 /** The caller of a session that was active within this time may be about to send a request. */
 constexpr Milliseconds RecentTime{ 200 };
 /** In bytes. Sessions that hold less are not counted: buffers of this size belong to each session. */
@@ -84,10 +86,10 @@
     // Whole requests that came before the refused one are at work.
     if (this->isRefused || this->isClosing)
         return this->answers.hasUnanswered() ? DropOrder::Last : DropOrder::Early;
-    const bool isStalled = this->clock->now() - this->lastActive >= StallTime;
+    const Milliseconds quiet = this->clock->now() - this->lastActive;
     if (this->holdsRequest())
-        return isStalled ? DropOrder::Early : DropOrder::Usual;
-    return isStalled && this->isWriting() ? DropOrder::Early : DropOrder::Last;
+        return quiet >= StallTime ? DropOrder::Early : DropOrder::Usual;
+    return this->isWriting() && quiet >= WriteStallTime ? DropOrder::Early : DropOrder::Last;
 }
 
 void HttpSession::dropBytes()
@@ -102,16 +104,15 @@
 CloseOrder HttpSession::closeOrder(Milliseconds now) const
 {
     const Milliseconds quiet = now - this->lastActive;
-    const bool isStalled = quiet >= StallTime;
     if (this->completeRequest || this->answers.hasUnanswered())
         return CloseOrder::Never;
     if (this->isWriting())
-        return isStalled ? CloseOrder::Stalled : CloseOrder::Never;
+        return quiet >= WriteStallTime ? CloseOrder::Stalled : CloseOrder::Never;
     if (this->isClosing)
         return CloseOrder::Answered;
     if (this->requestBeganAt == Never)
         return quiet >= RecentTime ? CloseOrder::Idle : CloseOrder::Never;
-    if (isStalled)
+    if (quiet >= StallTime)
         return CloseOrder::Stalled;
     return now - this->requestBeganAt >= StallTime ? CloseOrder::Receiving : CloseOrder::Never;
 }
