SlowReaders has a clock of its own

It failed once with the thread sanitizer beside other load: its idle time of 300 ms was real time, and a turn of the loop took longer. The test's clock now advances by 8 ms at each read, whatever the machine does; the cases and what must come are the same, and on the code before it fails as before ("reads steadily").

--- a/Tests/Http/SlowReadersTest.cpp
+++ b/Tests/Http/SlowReadersTest.cpp
@@ -1,7 +1,7 @@
 // Guards callers that take a large answer slowly but steadily: the time of the write counted as idle time, and after
 // idle_timeout their connections were closed, so that the answer was cut off and answers behind it were lost.
 
-#include "Base/SteadyClock.h"
+#include "Base/Clock.h"
 #include "Http/HttpListener.h"
 
 #include <array>
@@ -9,7 +9,6 @@
 #include <asio/write.hpp>
 #include <chrono>
 #include <string>
-#include <thread>
 
 // Redefines operator new: after all other headers.
 #include <CppUTest/TestHarness.h>
@@ -20,6 +19,19 @@
 
 constexpr std::size_t LargeBytes = 24000000;
 constexpr Milliseconds IdleTimeout{ 300 };
+/** Between two reads of a caller, by the clock of the test. */
+constexpr Milliseconds Turn{ 8 };
+constexpr int MostTurns = 2000;
+
+/** Advances only when the test says so: what is tested does not depend on the machine's speed. */
+class TurnClock final : public Clock {
+public:
+    Milliseconds now() const override { return this->time; }
+    void advance() { this->time = this->time + Turn; }
+
+private:
+    Milliseconds time{ 1000 };
+};
 
 /** Answers every request at once, the first one with a large body. */
 class LargeAnswerHandler final : public HttpSessionHandler {
@@ -60,7 +72,7 @@
 {
     for (const Case& item : Cases) {
         asio::io_context context;
-        SteadyClock clock;
+        TurnClock clock;
         LargeAnswerHandler handler;
         asio::ip::tcp::acceptor probe(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         const asio::ip::tcp::endpoint address = probe.local_endpoint();
@@ -80,11 +92,11 @@
         caller.non_blocking(true);
         std::string piece(200000, ' ');
         // Reading takes several times the idle time.
-        for (int turn = 0; turn < 400 && !isWhole(); ++turn) {
+        for (int turn = 0; turn < MostTurns && !isWhole(); ++turn) {
             asio::error_code ignored;
             if (item.reads)
                 received.append(piece.data(), caller.read_some(asio::buffer(piece), ignored));
-            std::this_thread::sleep_for(std::chrono::milliseconds(8));
+            clock.advance();
             context.restart();
             context.poll();
             listener.closeExpiredSessions();
