--- a/Source/Http/AnswerProblem.h
+++ b/Source/Http/AnswerProblem.h
@@ -8,6 +8,7 @@
 enum class AnswerProblem {
     None,
     ConnectionEnded, // before the answer was complete
+    RelayEnded, // the instance that relayed the connection ended before the answer was complete
     Invalid, // the bytes are no message of the protocol
     NoAnswer, // a message that a server does not send in answer to a request
     OtherRequest, // an answer to another request, after which the connection ends
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -79,8 +79,7 @@
     this->isHeaderAccepted = false;
     this->matched = AnswerMatch::Own;
     this->parser.emplace();
-    // Only the header tells whether an end mark follows the body.
-    this->parser->eager(this->endMark.empty());
+    this->parser->eager(true);
     this->parser->skip(this->options.isHeadRequest);
     this->parser->header_limit(MaxHeaderBytes);
     this->parser->body_limit(this->options.maxAnswerBytes);
@@ -134,15 +133,15 @@
     };
     if (!this->options.relay)
         return begin();
-    this->endMark = newRelayEndMark();
-    this->resetParser();
-    requestRelay(this->connection, { .backendServer = this->options.relay->backendServer, .endMark = this->endMark },
-        [self = this->shared_from_this(), begin](RelayReply reply) {
+    requestRelay(this->connection, this->options.relay->backendServer,
+        [self = this->shared_from_this(), begin](const RelayAnswer& answer) {
             if (self->isFinished)
                 return;
-            self->relayReply = reply;
-            if (reply != RelayReply::Connected)
+            self->relayReply = answer.reply;
+            if (answer.reply != RelayReply::Connected)
                 return self->finish(HttpExchangeResult::NotSent, std::nullopt);
+            if (answer.isInChunks)
+                self->relayed.emplace();
             begin();
         });
 }
@@ -180,13 +179,33 @@
 {
     if (this->isFinished)
         return;
-    this->input.append(this->chunk.data(), size);
-    this->receivedBytes += size;
-    if (!error) {
-        if (this->options.isIdleTimeout)
-            this->startTimeout(this->options.timeout, HttpExchangeResult::TimedOut);
-        return this->parse();
-    }
+    if (error)
+        return this->readingEnded(error);
+    if (!this->addInput({ this->chunk.data(), size }))
+        return this->finishBroken(AnswerProblem::Invalid);
+    if (this->options.isIdleTimeout)
+        this->startTimeout(this->options.timeout, HttpExchangeResult::TimedOut);
+    this->parse();
+}
+
+bool HttpExchange::addInput(std::string_view bytes)
+{
+    this->receivedBytes += bytes.size();
+    if (this->relayed)
+        return this->relayed->read(bytes, this->input);
+    this->input.append(bytes);
+    return true;
+}
+
+bool HttpExchange::isRelayGone() const
+{
+    return this->relayed && !this->relayed->hasServerEnded();
+}
+
+void HttpExchange::readingEnded(const asio::error_code& error)
+{
+    if (error == asio::error::eof && this->isRelayGone())
+        return this->finishBroken(AnswerProblem::RelayEnded);
     // An answer without a length ends with an orderly close, not with a reset.
     if (error != asio::error::eof || !this->isAnswerWithoutLength())
         return this->finishBroken(AnswerProblem::ConnectionEnded);
@@ -207,16 +226,12 @@
     return this->parser->is_header_done() && this->parser->need_eof();
 }
 
-std::size_t HttpExchange::heldBackBytes() const
-{
-    return this->isAnswerWithoutLength() ? this->endMark.size() : 0;
-}
-
 bool HttpExchange::finishAnswerWithoutLength()
 {
-    if (this->input != this->endMark)
+    // An instance of an older version relays the bytes as they are, so that its own end looks like the server's.
+    const bool isEndKnown = !this->options.relay || this->relayed;
+    if (!isEndKnown || !this->input.empty())
         return false;
-    this->input.clear();
     boost::beast::error_code error;
     this->parser->put_eof(error);
     return !error && this->parser->is_done();
@@ -224,14 +239,12 @@
 
 void HttpExchange::parse()
 {
-    while (this->input.size() > this->heldBackBytes()) {
+    while (!this->input.empty()) {
         boost::beast::error_code error;
-        const std::size_t parsable = this->input.size() - this->heldBackBytes();
-        const std::size_t used = this->parser->put(boost::asio::buffer(this->input.data(), parsable), error);
+        const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
         if (!this->acceptHeader())
             return;
-        this->parser->eager(this->endMark.empty() || this->parser->is_header_done());
         if (error && error != http::error::need_more)
             return this->finishBroken(problemOf(error));
         if (!this->isWithinLimits())
@@ -241,6 +254,8 @@
         if (error == http::error::need_more || !used)
             break;
     }
+    if (this->relayed && this->relayed->hasServerEnded())
+        return this->readingEnded(asio::error::eof);
     this->read();
 }
 
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -8,6 +8,7 @@
 #include "Http/HttpMessage.h"
 #include "Http/MemoryBound.h"
 #include "Http/RelayRequest.h"
+#include "Http/RelayStreamReader.h"
 #include "Timers/Timer.h"
 
 #include <array>
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace burlreach {
@@ -50,8 +52,8 @@
  * An answer without a length is whole when its connection ends in order. The
  * kernel reports a reset once, to the write if one is in progress, so the end
  * counts only after the request was written without an error. The end of a
- * relayed connection may be that of the relay, so there it counts only behind
- * the relay's end mark.
+ * relayed connection may be that of the relay, so there the relay must have
+ * told that the server has ended.
  *
  * A server may send bytes without end. An exchange bounds what it holds of a
  * header, of a line that frames a chunk, and of the body, the number of answers
@@ -109,13 +111,17 @@
     void write();
     void read();
     void received(const asio::error_code& error, std::size_t size);
+    /** Adds bytes that were read to the input; false if the relay sent what it must not. */
+    bool addInput(std::string_view bytes);
+    /** Ends the exchange, or lets its write end it, after the connection's last byte. */
+    void readingEnded(const asio::error_code& error);
+    /** True if nothing but the relay's word tells whether the server has ended, and it is missing. */
+    bool isRelayGone() const;
     void parse();
     /** Ends the exchange after an orderly end of the connection, once the request's write has ended too. */
     void connectionEnded();
     bool isAnswerWithoutLength() const;
     bool finishAnswerWithoutLength();
-    /** The bytes at the end of the input that may be the relay's end mark, and are not parsed. */
-    std::size_t heldBackBytes() const;
     /** Judges and reports the header once it is complete; false if it ended the exchange. */
     bool acceptHeader();
     void answerComplete();
@@ -151,7 +157,7 @@
     bool isReused = false;
     std::error_code connectError;
     std::optional<RelayReply> relayReply;
-    std::string endMark; // by which the relay tells that the server has ended in order
+    std::optional<RelayStreamReader> relayed; // empty: the server's bytes come as they are
     bool hasSkippedAnswer = false; // an answer to another request was skipped
     bool isHeaderAccepted = false; // of the answer that is being read
     AnswerMatch matched = AnswerMatch::Own; // of the answer that is being read
--- a/Source/Http/OpenConnection.cpp
+++ b/Source/Http/OpenConnection.cpp
@@ -43,16 +43,16 @@
         [timer, timeout, server = target.backendServer, answered = std::move(answered)](
             const asio::error_code& error, const std::shared_ptr<HttpConnection>& connection) {
             if (error)
-                return answered(RelayReply::Unreached);
+                return answered({});
             timer->expires_after(toDuration(timeout));
             timer->async_wait([connection](const asio::error_code& cancelled) {
                 asio::error_code ignored;
                 if (!cancelled)
                     connection->socket.close(ignored);
             });
-            requestRelay(connection, { .backendServer = server, .endMark = {} }, [timer, answered](RelayReply reply) {
+            requestRelay(connection, server, [timer, answered](const RelayAnswer& answer) {
                 timer->cancel();
-                answered(reply);
+                answered(answer);
             });
         });
 }
--- a/Source/Http/RelayRequest.cpp
+++ b/Source/Http/RelayRequest.cpp
@@ -7,7 +7,6 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <random>
 #include <utility>
 
 namespace burlreach {
@@ -57,7 +56,7 @@
         this->connection->socket.async_read_some(asio::buffer(this->chunk),
             [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
                 if (error)
-                    return self->answered(RelayReply::Unreached);
+                    return self->answered({});
                 self->input.append(self->chunk.data(), size);
                 self->parse();
             });
@@ -73,7 +72,9 @@
             return this->read();
         // A server sends nothing before it has received a request.
         const bool isUsable = !error && this->parser.is_header_done() && this->input.empty();
-        this->answered(isUsable ? replyOf(this->parser.get().result()) : RelayReply::Unreached);
+        if (!isUsable)
+            return this->answered({});
+        this->answered({ .reply = replyOf(this->parser.get().result()), .isInChunks = this->parser.chunked() });
     }
 
     std::shared_ptr<HttpConnection> connection;
@@ -92,26 +93,14 @@
     return static_cast<unsigned>(found == ReplyStatuses.end() ? DeclinedStatus : found->status);
 }
 
-std::string newRelayEndMark()
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    constexpr std::size_t digitCount = 32;
-    std::random_device random;
-    std::uniform_int_distribution<std::size_t> place(0, digits.size() - 1);
-    std::string mark;
-    while (mark.size() < digitCount)
-        mark += digits[place(random)];
-    return mark;
-}
-
-void requestRelay(const std::shared_ptr<HttpConnection>& connection, const RelayRequest& asked, RelayAnswered answered)
+void requestRelay(
+    const std::shared_ptr<HttpConnection>& connection, std::string_view backendServer, RelayAnswered answered)
 {
     constexpr unsigned httpVersion = 11;
     HttpRequest request(http::verb::connect, "relay:0", httpVersion);
     request.set(http::field::host, "relay");
-    setField(request, RelayServerField, asked.backendServer);
-    if (!asked.endMark.empty())
-        setField(request, RelayEndMarkField, asked.endMark);
+    setField(request, RelayServerField, backendServer);
+    setField(request, RelayChunksField, RelayChunksValue);
     const auto text = std::make_shared<std::string>(encode(std::move(request)));
     const auto reader = std::make_shared<RelayAnswerReader>(connection, std::move(answered));
     asio::async_write(connection->socket, asio::buffer(*text),
--- a/Source/Http/RelayRequest.h
+++ b/Source/Http/RelayRequest.h
@@ -27,10 +27,10 @@
     Unreached // the instance did not answer
 };
 
-/** What an instance is asked for when it is to relay a connection. */
-struct RelayRequest {
-    std::string_view backendServer; // id of the server to connect to
-    std::string_view endMark; // sent behind the server's bytes when the server has ended in order; empty: none
+/** The answer of an instance that was asked to relay a connection. */
+struct RelayAnswer {
+    RelayReply reply = RelayReply::Unreached;
+    bool isInChunks = false; // the server's bytes come as RelayStreamReader reads them; otherwise as they are
 };
 
 /** The HTTP status with which an instance gives this reply. */
@@ -38,19 +38,17 @@
 
 /** Header field with the id of the backend server to which a relay is asked to connect. */
 inline constexpr std::string_view RelayServerField = "Backend-Server";
-/** Header field with the bytes by which the relay tells that the server has ended the connection in order. */
-inline constexpr std::string_view RelayEndMarkField = "End-Mark";
+/** Header field by which a relay is asked to send the server's bytes in chunks; an older instance ignores it. */
+inline constexpr std::string_view RelayChunksField = "Server-Bytes";
+inline constexpr std::string_view RelayChunksValue = "chunked";
 
-/** Makes an end mark, 32 random hexadecimal digits: no server can send it, since none is told. */
-std::string newRelayEndMark();
-
-using RelayAnswered = std::function<void(RelayReply reply)>;
+using RelayAnswered = std::function<void(const RelayAnswer& answer)>;
 
 /**
  * Asks for a relay with an HTTP CONNECT request on a new connection to another instance. Once it has answered
  * Connected, the connection leads to the backend server. Closing the connection abandons the request.
  */
 void requestRelay(
-    const std::shared_ptr<HttpConnection>& connection, const RelayRequest& request, RelayAnswered answered);
+    const std::shared_ptr<HttpConnection>& connection, std::string_view backendServer, RelayAnswered answered);
 
 }
--- a/Source/Traffic/RelaySession.cpp
+++ b/Source/Traffic/RelaySession.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/HttpMessage.h"
 #include "Http/RelayRequest.h"
+#include "Http/RelayStreamReader.h"
 
 #include <asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -72,7 +73,7 @@
     const std::string backendServer(isUsable ? valueOf(parser.get(), RelayServerField) : std::string_view{});
     if (backendServer.empty())
         return this->refuse(static_cast<unsigned>(http::status::bad_request));
-    this->endMark = valueOf(parser.get(), RelayEndMarkField);
+    this->sendsChunks = valueOf(parser.get(), RelayChunksField) == RelayChunksValue;
     this->watchForClose();
     this->asked(this->number, backendServer);
 }
@@ -91,8 +92,10 @@
 {
     constexpr unsigned httpVersion = 11;
     http::response<http::empty_body> answer(static_cast<http::status>(status), httpVersion);
-    const auto text = std::make_shared<std::string>(
-        "HTTP/1.1 " + std::to_string(status) + " " + std::string(answer.reason()) + "\r\n\r\n");
+    const bool isConnected = status == static_cast<unsigned>(http::status::ok);
+    const auto text
+        = std::make_shared<std::string>("HTTP/1.1 " + std::to_string(status) + " " + std::string(answer.reason())
+            + (isConnected && this->sendsChunks ? "\r\nTransfer-Encoding: chunked\r\n\r\n" : "\r\n\r\n"));
     asio::async_write(this->instance, asio::buffer(*text),
         [self = this->shared_from_this(), text, written = std::move(written)](
             const asio::error_code& error, std::size_t) {
@@ -158,8 +161,8 @@
             if (failure)
                 return self->serverEnded();
             self->restartTimer(IdleTimeout);
-            asio::async_write(self->instance, asio::buffer(self->toInstance.buffer.data(), size),
-                [self](const asio::error_code& error, std::size_t) {
+            asio::async_write(
+                self->instance, self->serverBytes(size), [self](const asio::error_code& error, std::size_t) {
                     if (self->isOver)
                         return;
                     if (error)
@@ -169,6 +172,15 @@
         });
 }
 
+std::array<asio::const_buffer, 3> RelaySession::serverBytes(std::size_t size)
+{
+    const asio::const_buffer bytes = asio::buffer(this->toInstance.buffer.data(), size);
+    if (!this->sendsChunks)
+        return { bytes, {}, {} };
+    this->chunkHead = relayChunkHead(size);
+    return { asio::buffer(this->chunkHead), bytes, asio::buffer(RelayChunkEnd) };
+}
+
 void RelaySession::serverEnded()
 {
     this->hasServerEnded = true;
@@ -176,7 +188,9 @@
         return;
     if (this->hasWriteFailed)
         return this->end(true);
-    asio::async_write(this->instance, asio::buffer(this->endMark),
+    if (!this->sendsChunks)
+        return this->end(false);
+    asio::async_write(this->instance, asio::buffer(RelayLastChunk),
         [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->end(bool(error)); });
 }
 
--- a/Source/Traffic/RelaySession.h
+++ b/Source/Traffic/RelaySession.h
@@ -5,6 +5,7 @@
 #include "Timers/Timer.h"
 
 #include <array>
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <functional>
@@ -17,8 +18,9 @@
 /**
  * One connection that this instance relays for another one: receives the CONNECT request, answers it, and then
  * forwards bytes in both directions until one side closes. A reset by the server is passed on as a reset, because an
- * answer without a length is complete only after an orderly close; then the end mark that the other instance has named
- * follows the server's bytes. The kernel reports a reset once, to a write to the server if one is in progress.
+ * answer without a length is complete only after an orderly close. The end of this process closes its connections in
+ * order too, so the server's bytes are sent in chunks, and the last chunk tells that the server has ended. The kernel
+ * reports a reset once, to a write to the server if one is in progress.
  */
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
 public:
@@ -50,6 +52,8 @@
     void watchForClose();
     void fromInstance();
     void fromServer();
+    /** What tells the other instance these bytes of the server, which are in its buffer. */
+    std::array<asio::const_buffer, 3> serverBytes(std::size_t size);
     /** The server has ended its side; ends the session once the write to the server has ended too. */
     void serverEnded();
     void restartTimer(std::chrono::milliseconds duration);
@@ -67,7 +71,8 @@
     Direction toServer;
     Direction toInstance;
     std::string input; // of the request
-    std::string endMark; // that the other instance has named; empty: none
+    bool sendsChunks = false; // an instance of an older version reads none
+    std::string chunkHead; // of the chunk that is being written
     bool isWritingToServer = false;
     bool hasWriteFailed = false; // of a write to the server
     bool hasServerEnded = false;
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -424,9 +424,9 @@
 void RequestForwarder::checkThroughRelay(const CheckServer& action)
 {
     openRelayedConnection(*this->context, { .relay = *action.relay, .backendServer = action.backendServer },
-        HttpExchange::Options{}.relayTimeout, [this, action](RelayReply reply) {
+        HttpExchange::Options{}.relayTimeout, [this, action](const RelayAnswer& answer) {
             this->dependencies.sink->post(ServerChecked{ .backendServer = action.backendServer,
-                .result = connectOutcomeOf(reply),
+                .result = connectOutcomeOf(answer.reply),
                 .relay = action.relay,
                 .isForPath = action.isForPath });
         });
--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -6,6 +6,7 @@
 #include "Traffic/RelayServer.h"
 #include "Base/ChronoDuration.h"
 #include "Http/HttpExchange.h"
+#include "Http/RelayStreamReader.h"
 #include "Traffic/ConnectError.h"
 
 #include <array>
@@ -33,6 +34,8 @@
 enum class Behaviour {
     Answers,
     AnswersWithoutLength, // closes in order after the body
+    EndsShortOfLength, // closes in order before the last bytes of a body with a length
+    EndsShortOfLastChunk, // the same with chunks
     ResetsAfterHeader,
     ResetsEarly, // before it has read the request's body
     ClosesEarly, // the same, without asking for a reset
@@ -88,6 +91,14 @@
             asio::write(this->socket, asio::buffer(start + "Connection: close\r\n\r\nabc"), ignored);
             this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
             return;
+        case Behaviour::EndsShortOfLength:
+            asio::write(this->socket, asio::buffer(start + "Content-Length: 10\r\n\r\nabc"), ignored);
+            this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            return;
+        case Behaviour::EndsShortOfLastChunk:
+            asio::write(this->socket, asio::buffer(start + "Transfer-Encoding: chunked\r\n\r\na\r\nabc"), ignored);
+            this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            return;
         case Behaviour::ResetsAfterHeader:
             asio::write(this->socket, asio::buffer(start + "Connection: close\r\n\r\nab"), ignored);
             this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -149,6 +160,11 @@
         "abc" },
     { "answer without a length", Behaviour::AnswersWithoutLength, true, {}, HttpExchangeResult::Answered,
         ConnectOutcome::Connected, "abc" },
+    // What the relay sends to tell that the server has ended was taken for the missing bytes.
+    { "end short of the length", Behaviour::EndsShortOfLength, true, {}, HttpExchangeResult::Broken,
+        ConnectOutcome::Connected, "" },
+    { "end short of the last chunk", Behaviour::EndsShortOfLastChunk, true, {}, HttpExchangeResult::Broken,
+        ConnectOutcome::Connected, "" },
     { "reset within the answer", Behaviour::ResetsAfterHeader, true, {}, HttpExchangeResult::Broken,
         ConnectOutcome::Connected, "" },
     { "reset within the request", Behaviour::ResetsEarly, true, {}, HttpExchangeResult::Broken,
@@ -239,12 +255,62 @@
     }
 }
 
-/** An instance that relays one connection and ends before the server's answer is whole. */
+/** What an instance that was asked to relay a connection sends before it ends. */
+struct RelayScript {
+    const char* name;
+    std::string reply; // to the request for a relay
+    std::string bytes; // to the request that is relayed
+    HttpExchangeResult result;
+    AnswerProblem problem;
+    std::string body;
+};
+
+const std::string InChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string AsItIs = "HTTP/1.1 200 OK\r\n\r\n";
+
+/** These bytes as a relay sends them in one chunk. */
+std::string chunkOf(const std::string& bytes)
+{
+    return relayChunkHead(bytes.size()) + bytes + std::string(RelayChunkEnd);
+}
+
+std::vector<RelayScript> relayScripts()
+{
+    using Result = HttpExchangeResult;
+    using Problem = AnswerProblem;
+    const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhalf of the body";
+    const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf of the body";
+    const std::string last(RelayLastChunk);
+    // Its last bytes are those by which a relay of the version before told that the server had ended.
+    const std::string digits = unframed + "0123456789abcdef0123456789abcdef";
+    return {
+        { "no length, older relay", AsItIs, unframed, Result::Broken, Problem::ConnectionEnded, "" },
+        { "no length", InChunks, chunkOf(unframed), Result::Broken, Problem::RelayEnded, "" },
+        { "no length, within a chunk", InChunks, "20\r\n" + unframed, Result::Broken, Problem::RelayEnded, "" },
+        { "no length, within the last chunk", InChunks, chunkOf(unframed) + "0\r\n", Result::Broken,
+            Problem::RelayEnded, "" },
+        { "no length, whole", InChunks, chunkOf(unframed) + last, Result::Answered, Problem::None, "half of the body" },
+        { "no length, ends with digits", InChunks, chunkOf(digits) + last, Result::Answered, Problem::None,
+            digits.substr(AsItIs.size()) },
+        { "length", InChunks, chunkOf(withLength), Result::Broken, Problem::RelayEnded, "" },
+        { "length, the server has ended", InChunks, chunkOf(withLength) + last, Result::Broken,
+            Problem::ConnectionEnded, "" },
+        { "bytes behind the last chunk", InChunks, chunkOf(unframed) + last + "more", Result::Broken, Problem::Invalid,
+            "" },
+        { "no chunks", InChunks, unframed, Result::Broken, Problem::Invalid, "" },
+        { "a chunk's line without end", InChunks, std::string(200, '0'), Result::Broken, Problem::Invalid, "" },
+        { "in order, in many chunks", InChunks, chunkOf(AsItIs) + chunkOf("a") + chunkOf("b") + last, Result::Answered,
+            Problem::None, "ab" },
+    };
+}
+
+/** An instance that relays one connection and ends as the kernel ends the connections of a process that is killed. */
 class EndingRelay {
 public:
-    explicit EndingRelay(asio::io_context& context)
+    EndingRelay(asio::io_context& context, RelayScript givenScript)
         : acceptor(context, { asio::ip::make_address(Loopback), 0 })
         , socket(context)
+        , script(std::move(givenScript))
     {
         this->acceptor.async_accept(this->socket, [this](const asio::error_code& error) {
             if (!error)
@@ -262,36 +328,40 @@
                 return;
             asio::error_code ignored;
             const bool isAsked = !std::exchange(this->isForwarding, true);
-            const std::string bytes = isAsked ? "HTTP/1.1 200 OK\r\n\r\n" : "HTTP/1.1 200 OK\r\n\r\nhalf of the body";
-            asio::write(this->socket, asio::buffer(bytes), ignored);
+            asio::write(this->socket, asio::buffer(isAsked ? this->script.reply : this->script.bytes), ignored);
             if (isAsked)
                 return this->read();
-            // As the kernel ends the connections of a process that is killed.
             this->socket.close(ignored);
         });
     }
 
     asio::ip::tcp::acceptor acceptor;
     asio::ip::tcp::socket socket;
+    RelayScript script;
     std::array<char, 1024> chunk{};
     bool isForwarding = false;
 };
 
 // The end of a relayed connection may be that of the relay: half of an answer without a length passed as a whole one.
-TEST(RelayServer, TheEndOfTheRelayDoesNotCompleteAnAnswerWithoutALength)
+TEST(RelayServer, TheEndOfTheRelayDoesNotCompleteAnAnswer)
 {
-    asio::io_context context;
-    EndingRelay relay(context);
-    std::optional<HttpExchangeEnd> end;
-    HttpExchange::Options options;
-    options.relay = RelayTarget{ .relay = relay.address(), .backendServer = "s1" };
-    options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-    const auto exchange = std::make_shared<HttpExchange>(
-        context, std::move(options), [&end](HttpExchangeEnd ended) { end = std::move(ended); });
-    exchange->start(nullptr);
-    context.run_for(std::chrono::milliseconds(150));
-    CHECK(end.has_value());
-    CHECK(end->result == HttpExchangeResult::Broken);
+    for (const RelayScript& script : relayScripts()) {
+        asio::io_context context;
+        EndingRelay relay(context, script);
+        std::optional<HttpExchangeEnd> end;
+        HttpExchange::Options options;
+        options.relay = RelayTarget{ .relay = relay.address(), .backendServer = "s1" };
+        options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        const auto exchange = std::make_shared<HttpExchange>(
+            context, std::move(options), [&end](HttpExchangeEnd ended) { end = std::move(ended); });
+        exchange->start(nullptr);
+        context.run_for(std::chrono::milliseconds(150));
+        CHECK_TEXT(end.has_value(), script.name);
+        CHECK_TEXT(end->result == script.result, script.name);
+        STRCMP_EQUAL_TEXT(nameOf(script.problem).data(), nameOf(end->problem).data(), script.name);
+        const std::string body = end->response ? textOf(end->response->body()) : "";
+        STRCMP_EQUAL_TEXT(script.body.c_str(), body.c_str(), script.name);
+    }
 }
 
 TEST(RelayServer, RelayThatDoesNotListenProvesThatNothingWasSent)
