The end of a relay is not the server's failure

Cause: an attempt that broke was the server's, whoever had ended the connection. The relay's chunks now tell which of the two it was (AttemptEnd::hasRelayEnded). The request itself stays "may have run".

The virtual fleet ends the attempts that a killed instance relays.

--- a/Source/Node/PathManager.cpp
+++ b/Source/Node/PathManager.cpp
@@ -67,7 +67,7 @@
     if (isAnswer(end.result))
         return false;
     if (flight.relay)
-        return isRelayFailure(end.connect);
+        return isRelayFailure(end.connect) || end.hasRelayEnded;
     return this->monitor.isLost(flight.server->record());
 }
 
@@ -88,6 +88,8 @@
             this->relayedEnded(*flight.relay, server, ConnectOutcome::Connected, now);
         else if (isRelayFailure(end.connect))
             this->relayedEnded(*flight.relay, server, end.connect, now);
+        else if (end.hasRelayEnded)
+            this->relayedEnded(*flight.relay, server, ConnectOutcome::RelayDeclined, now);
         return;
     }
     if (isAnswer(end.result))
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -363,7 +363,7 @@
             request.service->addUnloadedTime(*request.route, now - flight.sentAt);
         return;
     }
-    if (end.result == AttemptResult::Broken)
+    if (end.result == AttemptResult::Broken && !end.hasRelayEnded)
         this->dependencies.crashes->connectionBroke(request, server, now, actions);
     actions.emplace_back(recordOfFailed(request, flight, end, now));
     if (isPathFailure || !request.service->pool.checkOutlier(server, now))
--- a/Source/Routing/AttemptResult.h
+++ b/Source/Routing/AttemptResult.h
@@ -51,6 +51,7 @@
     bool claimsNotRun = false; // the status implies "not run", but the answer does not prove it
     std::string_view problem; // for log lines: why what came is not the answer; static text
     ConnectOutcome connect = ConnectOutcome::Connected;
+    bool hasRelayEnded = false; // broken by the instance that relayed the connection; the server is not to blame
 };
 
 }
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -276,6 +276,7 @@
     const bool isNotSent = end.result == HttpExchangeResult::NotSent;
     failed.result = isNotSent ? AttemptResult::NotSent : AttemptResult::Broken;
     failed.problem = nameOf(end.problem);
+    failed.hasRelayEnded = end.problem == AnswerProblem::RelayEnded;
     if (end.result == HttpExchangeResult::TimedOut)
         failed.result = AttemptResult::TimedOut;
     return failed;
--- a/Tests/Node/LostPathTest.cpp
+++ b/Tests/Node/LostPathTest.cpp
@@ -7,7 +7,9 @@
 #include "Tests/Virtual/VirtualFleet.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +25,8 @@
 /** Time from the start of a cut after which callers must be served again. */
 constexpr Milliseconds Contact{ 3000 };
 constexpr Milliseconds CutLasts{ 9000 };
+/** Time from the start of a cut after which it is known to be the instances' own. */
+constexpr Milliseconds BeforeKills{ 1000 };
 constexpr Milliseconds AfterHealing{ 3000 };
 constexpr Milliseconds TimeLeft{ 800 };
 constexpr std::size_t ReadEvery = 2;
@@ -35,6 +39,7 @@
     ServerCut cut;
     std::function<bool(std::size_t instance)> isCut;
     std::set<std::string> cutServers; // empty: all
+    Milliseconds killsEvery = Never; // between the ends of two instances that are not cut off, during the cut
 };
 
 bool isFirst(std::size_t instance)
@@ -97,7 +102,9 @@
         this->load(Settling);
         this->cutAt = this->fleet.now();
         this->setCut(this->item.cut);
+        this->nextKill = this->item.killsEvery == Never ? Never : this->fleet.now() + BeforeKills;
         this->load(CutLasts);
+        this->nextKill = Never;
         this->healedAt = this->fleet.now();
         this->setCut(ServerCut::None);
         this->load(AfterHealing * 2);
@@ -144,14 +151,32 @@
             this->fleet.send(
                 number % this->fleet.size(), "bookings.example", isRead ? "GET" : "POST", "/bookings", TimeLeft);
             this->fleet.run(this->item.interval);
+            if (this->fleet.now() >= this->nextKill)
+                this->killNext();
         }
     }
 
+    /** Kills an instance that is not cut off, and starts the one that was killed before. */
+    void killNext()
+    {
+        if (this->killed)
+            this->fleet.start(*this->killed);
+        std::size_t next = this->killed.value_or(0);
+        do
+            next = (next + 1) % this->fleet.size();
+        while (this->item.isCut(next));
+        this->fleet.kill(next);
+        this->killed = next;
+        this->nextKill = this->fleet.now() + this->item.killsEvery;
+    }
+
     Case item;
     VirtualFleet fleet;
     std::size_t turn = 0;
     Milliseconds cutAt;
     Milliseconds healedAt;
+    Milliseconds nextKill = Never;
+    std::optional<std::size_t> killed;
 };
 
 void checkServed(const CutFleet& fleet, const std::string& name)
@@ -199,6 +224,31 @@
         LONGS_EQUAL(0, fleet.virtualFleet().node(instance).counters().value(DecisionCount::ServerEndsSeen));
 }
 
+// Guards against sound servers being ejected because instances that relayed requests to them ended.
+TEST(LostPath, NoServerIsBlamedForTheEndOfARelay)
+{
+    const std::vector<Case> cases{
+        { "one of three, reset", 3, 6, { 15 }, ServerCut::Reset, isFirst, {}, { 2500 } },
+        { "eight of 13, reset", 13, 12, { 7 }, ServerCut::Reset, isAmongEight, {}, { 250 } },
+        { "eight of 13, new connections refused", 13, 12, { 7 }, ServerCut::NewRefused, isAmongEight, {}, { 250 } },
+    };
+    for (const Case& item : cases) {
+        CutFleet fleet(item);
+        fleet.play();
+        checkInvariants(fleet.virtualFleet(), item.name);
+        std::uint64_t relayed = 0;
+        for (std::size_t instance = 0; instance < fleet.virtualFleet().size(); ++instance) {
+            if (!item.isCut(instance))
+                continue;
+            const DecisionCounters& counters = fleet.virtualFleet().node(instance).counters();
+            LONGS_EQUAL_TEXT(0, counters.value(DecisionCount::ServerEndsSeen), item.name);
+            LONGS_EQUAL_TEXT(0, counters.value(DecisionCount::Ejections), item.name);
+            relayed += counters.value(DecisionCount::AttemptsRelayed);
+        }
+        CHECK_TEXT(relayed > 0, item.name);
+    }
+}
+
 // Guards against requests being held until their deadline when no instance reaches any backend server.
 TEST(LostPath, RequestsAreRefusedAtOnceWhenAllInstancesAreCut)
 {
--- a/Tests/Virtual/VirtualFleet.cpp
+++ b/Tests/Virtual/VirtualFleet.cpp
@@ -4,6 +4,7 @@
 #include "Configuration/ConfigurationCodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace burlreach {
@@ -216,6 +217,7 @@
     place.waiting.clear();
     place.isBusy = false;
     ++place.life;
+    this->endRelayed(instance);
     for (auto& [number, caller] : this->callerList) {
         if (caller.instance == instance && caller.outcome == CallerOutcome::Waiting)
             this->endCaller(number, CallerOutcome::Cut);
@@ -581,18 +583,23 @@
         const std::uint64_t life = this->nodes[other].life;
         this->connect(other, serverId, *answer.address, std::nullopt,
             [this, other, life, number, serverId, reply](ConnectOutcome outcome, std::size_t) {
+                if (this->nodes[other].life != life)
+                    return reply(ConnectOutcome::RelayUnreached);
                 if (outcome == ConnectOutcome::Connected)
                     return reply(outcome);
                 this->relays[number] = [reply](const AnswerRelay& last) { reply(outcomeOf(last.refusal)); };
-                if (this->nodes[other].life != life)
-                    return reply(ConnectOutcome::RelayUnreached);
                 this->deliver(
                     other, life, RelayConnectFailed{ .relay = number, .backendServer = serverId, .result = outcome });
             });
     };
-    this->time.after(this->options.toPeer, [this, other, life = this->nodes[other].life, number, serverId] {
-        this->deliver(other, life, RelayAsked{ .relay = number, .backendServer = serverId });
-    });
+    this->time.after(
+        this->options.toPeer, [this, instance, other, life = this->nodes[other].life, number, serverId, done] {
+            if (this->nodes[other].life != life) {
+                this->relays.erase(number);
+                return done(ConnectOutcome::RelayUnreached, instance);
+            }
+            this->deliver(other, life, RelayAsked{ .relay = number, .backendServer = serverId });
+        });
 }
 
 void VirtualFleet::execute(std::size_t, const AnswerRelay& action)
@@ -647,10 +654,17 @@
         .crashesServers = found->second.crashesServers };
     const Milliseconds oneWay
         = this->options.toServer + (open.via == open.from ? Milliseconds{} : this->options.toPeer);
+    if (open.via != open.from && !this->isAlive(open.via))
+        return this->attemptEnded(open.from, open.life, action, open.sentAt,
+            { .end = { .result = AttemptResult::Broken, .hasRelayEnded = true }, .requestId = {} });
+    if (open.via != open.from)
+        this->relayedAttempts[arrival.attempt] = { .open = open, .action = action };
     this->time.after(oneWay, [this, server, arrival, open, action, oneWay] {
         this->arrived.push_back({ .requestId = arrival.requestId, .at = this->time.now() });
         server->receive(arrival, [this, server, open, action, oneWay](const ServerWord& word) {
             this->time.after(oneWay, [this, server, open, action, word] {
+                if (open.via != open.from && !this->relayedAttempts.erase(attemptAt(open.from, action.attempt)))
+                    return;
                 const ServerCut cut = this->cutBetween(open.via, server);
                 if (cut == ServerCut::Silent || cut == ServerCut::OneWay)
                     return;
@@ -661,6 +675,25 @@
     });
 }
 
+void VirtualFleet::endRelayed(std::size_t instance)
+{
+    std::vector<RelayedAttempt> ended;
+    for (auto item = this->relayedAttempts.begin(); item != this->relayedAttempts.end();) {
+        const auto next = std::next(item);
+        if (item->second.open.via == instance)
+            ended.push_back(std::move(this->relayedAttempts.extract(item).mapped()));
+        item = next;
+    }
+    for (const RelayedAttempt& attempt : ended) {
+        this->time.after(this->options.toPeer, [this, attempt] {
+            this->attemptEnded(attempt.open.from, attempt.open.life, attempt.action, attempt.open.sentAt,
+                { .end = { .result = AttemptResult::Broken, .hasRelayEnded = true }, .requestId = {} });
+        });
+        for (const auto& [id, server] : this->servers)
+            server->cancel(attemptAt(attempt.open.from, attempt.action.attempt));
+    }
+}
+
 void VirtualFleet::attemptEnded(
     std::size_t instance, std::uint64_t life, const SendAttempt& action, Milliseconds sentAt, const ServerWord& word)
 {
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -229,6 +229,8 @@
     void connect(std::size_t instance, const std::string& serverId, const NetworkAddress& address,
         const std::optional<NetworkAddress>& relay, const Connected& done);
     void sendOn(const OpenAttempt& open, const SendAttempt& action);
+    /** Ends the attempts on connections that this instance relays, as its end does. */
+    void endRelayed(std::size_t instance);
     void probeFrom(const OpenAttempt& open, const SendProbe& action);
     NetworkAddress addressOf(std::size_t instance) const;
     std::string nameOf(std::size_t instance) const;
@@ -304,6 +306,13 @@
     std::vector<std::size_t> messagesOf; // number of messages, by instance
     std::map<std::string, std::set<std::string>> serversOfHost; // that the latest configuration uses
     Milliseconds configuredAt = LongAgo;
+    /** An attempt on a connection through another instance. */
+    struct RelayedAttempt {
+        OpenAttempt open;
+        SendAttempt action;
+    };
+
+    std::map<AttemptNumber, RelayedAttempt> relayedAttempts; // under way, by attemptAt()
     RelayNumber lastRelay = 0;
     std::map<RelayNumber, std::function<void(const AnswerRelay&)>> relays; // asked for and not yet answered
     std::set<AttemptNumber> cancelled; // by the instances; a connection opened later is not used
