Test: relays that end, with real processes, judged by the bytes that callers got

RelayEnds starts three instances as processes of their own, cuts the first off from the server and ends the instance that relays most of its requests while all answers are in the middle: killed, killed when answers end, stopped (the answers outlast the stop's bound), paused and killed, with and without retries; the server resets; nothing happens; the server sends without end. Answers have a length, chunks, neither, an interim answer before, or end short; half of the requests may run only once.

The path is cut by a connect() of the test's own (CutOffBurlreach), so nothing has to be held with SIGSTOP, and what the trouble needs is waited for. Metric burlreach_open_relays, by which the test and operators see which instance relays.

--- a/Source/Program/MetricsText.cpp
+++ b/Source/Program/MetricsText.cpp
@@ -72,6 +72,7 @@
     add(answer, "held_bytes", "", static_cast<double>(traffic.heldBytes));
     add(answer, "dropped_for_memory", "", static_cast<double>(traffic.droppedForMemory));
     add(answer, "log_lines_dropped", "", static_cast<double>(traffic.logLinesLeftOut));
+    add(answer, "open_relays", "", static_cast<double>(traffic.openRelays));
     add(answer, "open_sessions", "", static_cast<double>(traffic.openSessions));
     add(answer, "sessions_refused", "", static_cast<double>(traffic.sessionsRefused));
     add(answer, "sessions_displaced", "", static_cast<double>(traffic.sessionsDisplaced));
--- a/Tests/Crowds/CrowdInstance.cpp
+++ b/Tests/Crowds/CrowdInstance.cpp
@@ -1,14 +1,17 @@
 #include "Tests/Crowds/CrowdInstance.h"
 
 #include <algorithm>
+#include <array>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <sys/resource.h>
+#include <tuple>
 #include <unistd.h>
 #include <utility>
 
@@ -16,14 +19,37 @@
 
 namespace {
 
-constexpr const char* Loopback = "127.0.0.1";
 constexpr int StatusOk = 200;
 
-NetworkAddress freeAddress()
+constexpr std::size_t AddressCount = 5;
+
+/** A loopback address that no other instance of this test or of one beside it has. */
+std::string nextHost()
+{
+    static unsigned count = 0;
+    constexpr unsigned firstNetwork = 64; // leaves out those that are in use by hand, such as 127.0.0.1
+    constexpr unsigned networks = 128;
+    constexpr unsigned byte = 256;
+    const auto process = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(firstNetwork + process / byte % networks) + "." + std::to_string(process % byte)
+        + "." + std::to_string(++count % (byte - 2) + 1);
+}
+
+/**
+ * Addresses with ports that nobody uses, all of one host. On 127.0.0.1 a port could become that of a connection before
+ * the instance listens there.
+ */
+std::array<NetworkAddress, AddressCount> freeAddresses()
 {
     asio::io_context context;
-    const asio::ip::tcp::acceptor probe(context, { asio::ip::address_v4::loopback(), 0 });
-    return { .host = Loopback, .port = probe.local_endpoint().port() };
+    const std::string host = nextHost();
+    std::array<NetworkAddress, AddressCount> addresses;
+    std::vector<asio::ip::tcp::acceptor> probes; // kept until all are drawn
+    for (NetworkAddress& address : addresses) {
+        probes.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::make_address(host), 0));
+        address = { .host = host, .port = probes.back().local_endpoint().port() };
+    }
+    return addresses;
 }
 
 /** The port of an "ADDRESS:PORT" of /proc/net/tcp, in hexadecimal digits. */
@@ -80,33 +106,41 @@
 
 CrowdInstance::CrowdInstance(const Options& givenOptions)
     : options(givenOptions)
-    , callersAddress(freeAddress())
-    , operatorsAddress(freeAddress())
-    , peersAddress(freeAddress())
-    , readinessAddress(freeAddress())
-    , relayAddress(freeAddress())
-    , process(std::make_unique<ChildProcess>(ChildProcess::Options{
-          .command = { givenOptions.program, "serve", "--settings", givenOptions.folder + "/entry.json" },
-          .logPath = givenOptions.folder + "/entry.log" }))
 {
+    std::tie(
+        this->callersAddress, this->operatorsAddress, this->peersAddress, this->readinessAddress, this->relayAddress)
+        = std::tuple_cat(freeAddresses());
+    const std::string path = this->options.folder + "/" + this->options.name;
+    std::vector<std::string> command{ this->options.program, "serve", "--settings", path + ".json" };
+    if (!this->options.cutPorts.empty())
+        command.insert(command.begin(), { "/usr/bin/env", "CUT_PORTS=" + this->options.cutPorts });
+    this->process = std::make_unique<ChildProcess>(
+        ChildProcess::Options{ .command = std::move(command), .logPath = path + ".log" });
 }
 
 void CrowdInstance::writeSettings() const
 {
+    nlohmann::json seeds = nlohmann::json::array();
+    for (const NetworkAddress& seed : this->options.seeds)
+        seeds.push_back(seed.text());
     nlohmann::json settings{
         { "dialect", "platform" },
-        { "instance", { { "name", "entry" }, { "dataCentre", "dc-1" } } },
+        { "instance", { { "name", this->options.name }, { "dataCentre", "dc-1" } } },
         { "listen",
             { { "callers", this->callersAddress.text() }, { "operators", this->operatorsAddress.text() },
                 { "peers", this->peersAddress.text() }, { "readiness", this->readinessAddress.text() },
                 { "relay", this->relayAddress.text() } } },
         { "store", { { "address", this->options.store.text() } } },
-        { "retries", { { "share", 0.2 }, { "slack", 64 } } },
+        { "seeds", seeds },
+        { "retries", { { "share", 0.2 }, { "slack", this->options.retrySlack } } },
         { "log", { { "format", "json" } } },
     };
     if (this->options.sessions)
         settings["sessions"]["maximum"] = this->options.sessions;
-    std::ofstream(this->options.folder + "/entry.json") << settings.dump(1) << '\n';
+    if (this->options.stopBound.count())
+        settings["stop"]
+            = { { "bound", std::to_string(this->options.stopBound.count()) + "ms" }, { "readinessLead", "200ms" } };
+    std::ofstream(this->options.folder + "/" + this->options.name + ".json") << settings.dump(1) << '\n';
 }
 
 void CrowdInstance::start()
@@ -123,6 +157,15 @@
     return answer && answer->status == StatusOk;
 }
 
+double CrowdInstance::metric(const std::string& metricName) const
+{
+    httplib::Client client(this->operatorsAddress.host, this->operatorsAddress.port);
+    const auto answer = client.Get("/metrics");
+    const std::string start = "\n" + metricName + " ";
+    const std::size_t place = answer ? answer->body.find(start) : std::string::npos;
+    return place == std::string::npos ? 0 : std::strtod(answer->body.c_str() + place + start.size(), nullptr);
+}
+
 ProcessLoad CrowdInstance::load(const NetworkAddress& server) const
 {
     const std::string folder = "/proc/" + std::to_string(this->process->number());
--- a/Tests/Crowds/CrowdInstance.h
+++ b/Tests/Crowds/CrowdInstance.h
@@ -4,6 +4,7 @@
 #include "Tests/Soak/ChildProcess.h"
 
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -24,6 +25,11 @@
         std::string program; // path
         std::string folder; // for settings and log
         NetworkAddress store;
+        std::string name = "entry"; // also of its settings file and log
+        std::vector<NetworkAddress> seeds; // peers' addresses of other instances
+        std::string cutPorts; // path of a file with ports that CutOffBurlreach does not connect to; empty: none
+        std::chrono::milliseconds stopBound{ 0 }; // 0: the program's default
+        unsigned retrySlack = 64; // of the fleet in 10 s
         std::size_t sessions = 0; // most callers' connections; 0: the program's default
         std::size_t descriptors = 0; // that the process may open; 0: as many as this process
     };
@@ -32,6 +38,9 @@
 
     void start();
     bool isRunning() { return this->process->isRunning(); }
+    ChildProcess& child() { return *this->process; }
+    /** The value of a metric of the running process; 0 if there is none. */
+    double metric(const std::string& metricName) const;
     /** Whether the instance says that it serves callers. */
     bool isReady() const;
     const NetworkAddress& callers() const { return this->callersAddress; }
