Soak: instances that lose their paths, and relays that are killed, stopped and paused

Seeds from 40000 run six instances that relay for each other. Faults cut the paths of single instances (connections are reset, new ones refused by CutOffBurlreach), kill, stop and pause instances while they relay, and let servers send answers that end with their connection, or end a few bytes short. No soak had relays before, so none could show what relays make of an answer.

--- a/Tests/Soak/FaultSoak.cc
+++ b/Tests/Soak/FaultSoak.cc
@@ -72,21 +72,26 @@
     }
 }
 
+/** A run with relays needs some instances that are neither cut off nor ending. */
+constexpr std::size_t InstancesWithRelays = 6;
+
 /** Runs the plan of one seed; returns one sentence for each broken guarantee. */
 std::vector<std::string> run(const SoakOptions& options, std::uint64_t seed, const std::string& folder)
 {
+    const std::size_t instances = hasRelays(seed) ? InstancesWithRelays : options.instances;
     SoakFleet fleet({ .build = options.build,
         .folder = folder,
-        .instances = options.instances,
+        .instances = instances,
         .servers = options.servers,
         .firstPort = options.firstPort,
         .hasCrashingRequest = hasCrashingRequest(seed),
-        .hasLongRequests = hasSpoiltAnswers(seed),
+        .hasLongRequests = hasSpoiltAnswers(seed) || hasRelays(seed),
+        .hasRelays = hasRelays(seed),
         .memoryMegabytes = hasUnrulyCallers(seed) ? LittleMemory : 0 });
     if (!fleet.start())
         return { "the fleet did not start" };
     const std::vector<SoakStep> steps = planOf({ .seed = seed,
-        .instances = options.instances,
+        .instances = instances,
         .servers = options.servers,
         .length = { options.seconds * MillisecondsPerSecond } });
     const auto callers = fleet.startCallers("run", options.seconds, seed);
@@ -130,6 +135,8 @@
     std::cout << "seed " << seed << ": " << steps.size() << " faults,";
     for (const auto& [outcome, count] : told.outcomes)
         std::cout << ' ' << count << ' ' << outcome << ',';
+    if (hasRelays(seed))
+        std::cout << " relayed " << fleet.relayedAttempts() << " since the last starts,";
     std::cout << " most repeats in a window " << retries.arrivals << " of " << retries.allowed << " allowed,";
     std::cout << ' ' << checker.findings().size() << " broken\n" << std::flush;
     return checker.findings();
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -111,6 +111,8 @@
         static constexpr std::string_view interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
         static constexpr std::string_view idField = "Burlreach-Request-Id: ";
         const std::string_view bytes(this->back.piece.data(), size);
+        if (fault == ProxyFault::Unframed || fault == ProxyFault::EndsShort || !this->answer.empty())
+            return this->collect(fault, bytes);
         // Answers to probes have no id, so that a copy of one could not be told from an answer to a request.
         if (bytes.find(idField) == std::string_view::npos || !bytes.starts_with("HTTP/"))
             return false;
@@ -123,6 +125,59 @@
         return fault == ProxyFault::Interim || fault == ProxyFault::Endless;
     }
 
+    /** Collects an answer and sends it in halves once it is whole; false if it is none to a request. */
+    bool collect(ProxyFault fault, std::string_view bytes)
+    {
+        static constexpr std::string_view headEnd = "\r\n\r\n";
+        static constexpr std::string_view lengthField = "\r\nContent-Length: ";
+        this->answer += bytes;
+        const std::size_t body = this->answer.find(headEnd);
+        const std::size_t length = this->answer.find(lengthField);
+        const std::size_t announced = length < body ? std::stoul(this->answer.substr(length + lengthField.size())) : 0;
+        if (body == std::string::npos || this->answer.size() < body + headEnd.size() + announced) {
+            this->read(this->back);
+            return true;
+        }
+        if (!announced || this->answer.find("Burlreach-Request-Id: ") > body) {
+            this->sendBefore(this->back, 0, std::exchange(this->answer, {}));
+            return true;
+        }
+        const std::size_t half = this->answer.size() - announced / 2;
+        constexpr std::size_t missing = 5;
+        if (fault == ProxyFault::EndsShort) {
+            this->answer.resize(std::max(half, this->answer.size() - missing));
+            this->sendHalves(half);
+            return true;
+        }
+        const std::size_t lineBytes = this->answer.find("\r\n", length + lengthField.size()) - length;
+        this->answer.erase(length, lineBytes);
+        this->sendHalves(half - lineBytes);
+        return true;
+    }
+
+    /** Sends the answer with a pause behind the first bytes, and ends the connection in order. */
+    void sendHalves(std::size_t first)
+    {
+        asio::async_write(this->client, asio::buffer(this->answer.data(), first),
+            [self = this->shared_from_this(), first](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return self->reset();
+                self->back.timer.expires_after(toDuration(self->proxy->options.delay));
+                self->back.timer.async_wait([self, first](const asio::error_code&) { self->sendRest(first); });
+            });
+    }
+
+    void sendRest(std::size_t first)
+    {
+        asio::async_write(this->client, asio::buffer(this->answer) + first,
+            [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return self->reset();
+                asio::error_code ignored;
+                self->client.shutdown(tcp::socket::shutdown_send, ignored);
+            });
+    }
+
     /** Sends these bytes to the client, then passes on what has been read. */
     void sendBefore(Direction& way, std::size_t size, std::string bytes)
     {
@@ -172,6 +227,7 @@
     Direction forward;
     Direction back;
     bool hasLost = false;
+    std::string answer; // of the server, collected to be sent in halves
     std::string surplus; // a copy of the last answer, not yet sent
 };
 
--- a/Tests/Soak/LoopbackProxy.h
+++ b/Tests/Soak/LoopbackProxy.h
@@ -25,7 +25,9 @@
     Refuse, // open connections are reset, new ones closed at once
     Interim, // an interim answer is sent before the server's bytes
     Repeat, // a second copy of an answer with a request id is sent when the client's next bytes come
-    Endless // bytes without end are sent in place of the server's
+    Endless, // bytes without end are sent in place of the server's
+    Unframed, // the answer's length is taken out; it ends with the connection, after a pause in the middle
+    EndsShort // the connection ends in order before the last bytes of the answer, after the same pause
 };
 
 /**
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -144,6 +144,11 @@
         command.front() = this->options.build + "/StandIns/SuspendableBurlreach";
         command.insert(command.begin(), { "/usr/bin/env", "SUSPENDED_CLOCK=" + this->clockPath(index) });
     }
+    if (this->options.hasRelays) {
+        this->setPathsCut(index, false);
+        command.front() = this->options.build + "/StandIns/CutOffBurlreach";
+        command.insert(command.begin(), { "/usr/bin/env", "CUT_PORTS=" + this->cutPath(index) });
+    }
     instance.process = this->program(name, std::move(command));
     // Connections to an instance that does not listen go to the next one.
     std::vector<std::uint16_t> targets;
@@ -177,11 +182,34 @@
         { "log", { { "format", "json" } } },
     };
     nlohmann::json all = settings;
+    if (this->options.hasRelays)
+        all["listen"]["relay"] = local(this->port(Part::Relay, index));
     if (this->options.memoryMegabytes)
         all["machine"]["memoryMegabytes"] = this->options.memoryMegabytes;
     std::ofstream(this->pathOf(name + ".json")) << all.dump(1) << '\n';
 }
 
+void SoakFleet::setPathsCut(std::size_t index, bool areCut) const
+{
+    std::ofstream file(this->cutPath(index));
+    for (std::size_t server = 0; areCut && server < this->options.servers; ++server)
+        file << this->port(Part::ServerProxy, server) << '\n';
+}
+
+std::uint64_t SoakFleet::relayedAttempts() const
+{
+    std::uint64_t sum = 0;
+    for (std::size_t index = 0; index < this->instances.size(); ++index) {
+        httplib::Client client("127.0.0.1", this->port(Part::Operators, index));
+        const auto answer = client.Get("/metrics");
+        static const std::string name = "\nburlreach_decisions{reason=\"attempts_relayed\"} ";
+        const std::size_t place = answer ? answer->body.find(name) : std::string::npos;
+        if (place != std::string::npos)
+            sum += std::strtoull(answer->body.c_str() + place + name.size(), nullptr, 10);
+    }
+    return sum;
+}
+
 bool SoakFleet::control(std::size_t instance, std::vector<std::string> words, const std::string& log) const
 {
     std::vector<std::string> command{ this->options.build + "/burlreach", "ctl", "--address",
@@ -419,6 +447,16 @@
     case SoakFault::UnrulyCallers:
         instance.crowd = std::make_unique<UnrulyCallers>(this->port(Part::Callers, index), this->crowds++);
         return;
+    case SoakFault::CutPaths:
+        this->setPathsCut(index, true);
+        // Kept connections would live on. Those of the other instances are reset as well.
+        for (const Server& item : this->backendServers)
+            item.proxy->reset();
+        return;
+    case SoakFault::ServerEndsAnswers:
+        return server.proxy->setFault(ProxyFault::Unframed);
+    case SoakFault::ServerEndsShort:
+        return server.proxy->setFault(ProxyFault::EndsShort);
     case SoakFault::Count:
         return;
     }
@@ -467,9 +505,13 @@
     case SoakFault::ServerSendsInterim:
     case SoakFault::ServerRepeatsAnswers:
     case SoakFault::ServerSendsEndlessly:
+    case SoakFault::ServerEndsAnswers:
+    case SoakFault::ServerEndsShort:
         return server.proxy->setFault(ProxyFault::None);
     case SoakFault::UnrulyCallers:
         return instance.crowd.reset();
+    case SoakFault::CutPaths:
+        return this->setPathsCut(step.target % this->instances.size(), false);
     case SoakFault::StopInstance: // tend() restarts the instance
     case SoakFault::ReloadInstance:
     case SoakFault::ResetCallers:
@@ -492,6 +534,8 @@
             server.process->start();
         setFault(this->port(Part::Server, index), "none");
     }
+    for (std::size_t index = 0; this->options.hasRelays && index < this->instances.size(); ++index)
+        this->setPathsCut(index, false);
     for (Instance& instance : this->instances) {
         instance.process->signal(SIGCONT);
         instance.crowd.reset();
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -33,6 +33,7 @@
         bool hasCrashingRequest = false; // runs a CrashingLoad, with instances that can be suspended
         /** Some requests take longer than a stop leaves them at its end, and all requests carry ids. */
         bool hasLongRequests = false;
+        bool hasRelays = false; // instances relay for each other, and their paths to servers can be cut
         std::size_t memoryMegabytes = 0; // of an instance's machine; 0: the program's default
     };
 
@@ -68,6 +69,8 @@
     std::size_t instanceCount() const { return this->options.instances; }
     /** Names of programs that ended unexpectedly or with a failure. */
     std::vector<std::string> failures();
+    /** The number of attempts that the running instances have sent through other instances. */
+    std::uint64_t relayedAttempts() const;
     /** The most memory in bytes that an instance has held, as seen at each call of tend(). */
     std::size_t peakMemory() const { return this->mostMemory; }
 
@@ -96,7 +99,8 @@
         CallersProxy = 400,
         Operators = 500,
         Peers = 600,
-        CrashingServer = 700
+        CrashingServer = 700,
+        Relay = 800
     };
 
     std::uint16_t port(Part part, std::size_t index = 0) const;
@@ -113,6 +117,9 @@
         const std::string& service, const std::string& name, std::uint16_t serverPort);
     std::unique_ptr<ChildProcess> startNamingLife(std::size_t server, std::uint64_t life, unsigned tries) const;
     void resumeSuspended(std::size_t index);
+    std::string cutPath(std::size_t index) const { return this->pathOf("cut-" + std::to_string(index)); }
+    /** Refuses the instance's new connections to all servers, or to none. */
+    void setPathsCut(std::size_t index, bool areCut) const;
     std::string clockPath(std::size_t index) const { return this->pathOf("clock-" + std::to_string(index)); }
     void changeConfiguration(std::size_t instance);
     bool isReady(std::size_t instance) const;
--- a/Tests/Soak/SoakPlan.cpp
+++ b/Tests/Soak/SoakPlan.cpp
@@ -15,7 +15,7 @@
     "store-loses-answers", "store-forgets", "kill-server", "pause-server", "server-sheds", "server-cuts-answers",
     "silence-server", "silence-server-back", "delay-server", "reset-server", "change-configuration", "leaving-server",
     "suspend-instance", "server-asks-pause", "server-names-limit", "server-sends-interim", "server-repeats-answers",
-    "server-sends-endlessly", "unruly-callers" };
+    "server-sends-endlessly", "unruly-callers", "cut-paths", "server-ends-answers", "server-ends-short" };
 /** Number of faults from which seeds below FirstSeedWithCrashes draw; their plans must stay reproducible. */
 constexpr auto UsualCount = static_cast<std::size_t>(SoakFault::SuspendInstance);
 constexpr std::uint64_t FirstSeedWithCrashes = 1000;
@@ -23,6 +23,7 @@
 constexpr std::uint64_t FirstSeedWithLimits = 3000;
 constexpr std::uint64_t FirstSeedWithSpoiltAnswers = 20000;
 constexpr std::uint64_t FirstSeedWithUnrulyCallers = 30000;
+constexpr std::uint64_t FirstSeedWithRelays = 40000;
 /** Share of the faults that are reported limits. */
 constexpr double LimitShare = 0.5;
 /** Excludes faults that restart or pause instances, since such an instance may not have received a notice. */
@@ -41,6 +42,10 @@
     SoakFault::UnrulyCallers, SoakFault::UnrulyCallers, SoakFault::StopInstance, SoakFault::KillInstance,
     SoakFault::PauseInstance, SoakFault::KillServer, SoakFault::ServerSheds, SoakFault::StoreDown,
     SoakFault::ResetCallers, SoakFault::ChangeConfiguration };
+constexpr std::array<SoakFault, 14> BesideRelays{ SoakFault::CutPaths, SoakFault::CutPaths, SoakFault::CutPaths,
+    SoakFault::CutPaths, SoakFault::KillInstance, SoakFault::KillInstance, SoakFault::StopInstance,
+    SoakFault::StopInstance, SoakFault::PauseInstance, SoakFault::ServerEndsAnswers, SoakFault::ServerEndsAnswers,
+    SoakFault::ServerEndsShort, SoakFault::ServerCutsAnswers, SoakFault::ResetServer };
 constexpr std::array<SoakFault, 4> Planned{ SoakFault::StopInstance, SoakFault::ReloadInstance,
     SoakFault::ChangeConfiguration, SoakFault::LeavingServer };
 
@@ -55,6 +60,8 @@
 
 SoakFault drawFault(std::uint64_t seed, Random& random)
 {
+    if (hasRelays(seed))
+        return BesideRelays[random.below(BesideRelays.size())];
     if (hasUnrulyCallers(seed))
         return BesideUnrulyCallers[random.below(BesideUnrulyCallers.size())];
     if (hasSpoiltAnswers(seed))
@@ -103,7 +110,12 @@
 
 bool hasUnrulyCallers(std::uint64_t seed)
 {
-    return seed >= FirstSeedWithUnrulyCallers;
+    return seed >= FirstSeedWithUnrulyCallers && seed < FirstSeedWithRelays;
+}
+
+bool hasRelays(std::uint64_t seed)
+{
+    return seed >= FirstSeedWithRelays;
 }
 
 std::vector<SoakStep> planOf(const SoakPlanOptions& options)
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -40,6 +40,9 @@
     ServerRepeatsAnswers, // a second copy of each answer comes late, where the next answer on the connection is due
     ServerSendsEndlessly, // bytes without end come in place of answers
     UnrulyCallers, // a crowd sends requests that stop short of their end, or many large ones, and stays connected
+    CutPaths, // an instance's connections to servers are reset and new ones refused; others still reach them
+    ServerEndsAnswers, // answers have no length and end with their connection
+    ServerEndsShort, // connections end in order before the last bytes of answers
     Count
 };
 
@@ -81,6 +84,9 @@
 /** True for a run with crowds of callers that don't behave, on instances with little memory. */
 bool hasUnrulyCallers(std::uint64_t seed);
 
+/** True for a run in which instances lose their paths to servers, and instances that relay for them end. */
+bool hasRelays(std::uint64_t seed);
+
 /** The steps of a seed, in order of time; steps may overlap, and the same fault may repeat in quick succession. */
 std::vector<SoakStep> planOf(const SoakPlanOptions& options);
 
