--- a/Tests/Crowds/PlatformStoreStandIn.cpp
+++ b/Tests/Crowds/PlatformStoreStandIn.cpp
@@ -66,6 +66,7 @@
     const std::uint64_t after = numberOf(request, "after");
     const std::chrono::milliseconds wait(numberOf(request, "wait_ms"));
     std::unique_lock lock(this->mutex);
+    this->upToDateWatches += after >= this->revision ? 1 : 0;
     this->changed.wait_for(lock, wait, [&] { return this->isEnding || this->revision > after; });
     response.set_content(R"({"events":)" + this->itemsAfter(after, request.get_param_value("path_prefix")) + R"(,"at":)"
             + std::to_string(this->revision) + "}",
@@ -93,6 +94,7 @@
 void PlatformStoreStandIn::write(const std::string& key, const std::string& encodedValue)
 {
     this->items[key] = { .value = encodedValue, .revision = ++this->revision };
+    this->upToDateWatches = 0;
     this->changed.notify_all();
 }
 
@@ -102,4 +104,10 @@
     this->write(key, platform::encodeBase64(value));
 }
 
+std::size_t PlatformStoreStandIn::watchesPastAll()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->upToDateWatches;
+}
+
 }
--- a/Tests/Crowds/PlatformStoreStandIn.h
+++ b/Tests/Crowds/PlatformStoreStandIn.h
@@ -26,6 +26,8 @@
     NetworkAddress address() const { return { .host = "127.0.0.1", .port = this->port }; }
     /** Writes an item as the operator or a backend server would. */
     void put(const std::string& key, const std::string& value);
+    /** The number of watches that have asked for changes after all that was written so far. */
+    std::size_t watchesPastAll();
 
 private:
     struct Item {
@@ -47,6 +49,7 @@
     bool isEnding = false;
     std::map<std::string, Item> items;
     std::uint64_t revision = 0;
+    std::size_t upToDateWatches = 0; // since the last change
     std::thread thread;
 };
 
