--- a/Tests/Crowds/CrowdInstance.cpp
+++ b/Tests/Crowds/CrowdInstance.cpp
@@ -138,8 +138,8 @@
     if (this->options.sessions)
         settings["sessions"]["maximum"] = this->options.sessions;
     if (this->options.stopBound.count())
-        settings["stop"]
-            = { { "bound", std::to_string(this->options.stopBound.count()) + "ms" }, { "readinessLead", "200ms" } };
+        settings["stop"] = { { "bound", std::to_string(this->options.stopBound.count()) + "ms" },
+            { "readinessLead", std::to_string(this->options.stopLead.count()) + "ms" } };
     std::ofstream(this->options.folder + "/" + this->options.name + ".json") << settings.dump(1) << '\n';
 }
 
--- a/Tests/Crowds/CrowdInstance.h
+++ b/Tests/Crowds/CrowdInstance.h
@@ -29,6 +29,7 @@
         std::vector<NetworkAddress> seeds; // peers' addresses of other instances
         std::string cutPorts; // path of a file with ports that CutOffBurlreach does not connect to; empty: none
         std::chrono::milliseconds stopBound{ 0 }; // 0: the program's default
+        std::chrono::milliseconds stopLead{ 200 }; // from which on callers know of a stop
         unsigned retrySlack = 64; // of the fleet in 10 s
         std::size_t sessions = 0; // most callers' connections; 0: the program's default
         std::size_t descriptors = 0; // that the process may open; 0: as many as this process
--- a/Tests/Entries/OddEntry.cpp
+++ b/Tests/Entries/OddEntry.cpp
@@ -134,7 +134,8 @@
     add("nested objects", deepObjects);
     add("an unknown field, nested", withField(configuration, R"("x":)" + deepObjects));
     add("limits nested", withField(configuration, R"("limits":)" + deepLists));
-    add("keys nested", withField(configuration, R"("tenants":{"t":{"api_keys":["k",)" + nestedObjects(ValueBytes / 7) + "]}}"));
+    add("keys nested",
+        withField(configuration, R"("tenants":{"t":{"api_keys":["k",)" + nestedObjects(ValueBytes / 7) + "]}}"));
     add("a limit too large", withField(configuration, R"("limits":{"max_body_bytes":1e400})"));
     add("empty", "");
 }
