RelayServer: interim answers and HEAD through a relay that ends

Shown not to be a fault: half of an answer behind an interim one is broken, an interim answer alone completes nothing, and the answer to a HEAD request ends with its header.

--- a/Tests/Traffic/RelayServerTest.cpp
+++ b/Tests/Traffic/RelayServerTest.cpp
@@ -263,6 +263,7 @@
     HttpExchangeResult result;
     AnswerProblem problem;
     std::string body;
+    bool isHeadRequest = false;
 };
 
 const std::string InChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -280,6 +281,7 @@
     using Problem = AnswerProblem;
     const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhalf of the body";
     const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf of the body";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
     const std::string last(RelayLastChunk);
     // Its last bytes are those by which a relay of the version before told that the server had ended.
     const std::string digits = unframed + "0123456789abcdef0123456789abcdef";
@@ -295,6 +297,17 @@
         { "length", InChunks, chunkOf(withLength), Result::Broken, Problem::RelayEnded, "" },
         { "length, the server has ended", InChunks, chunkOf(withLength) + last, Result::Broken,
             Problem::ConnectionEnded, "" },
+        { "interim answer", InChunks, chunkOf(interim) + chunkOf(unframed), Result::Broken, Problem::RelayEnded, "" },
+        { "interim answer, whole", InChunks, chunkOf(interim) + chunkOf(unframed) + last, Result::Answered,
+            Problem::None, "half of the body" },
+        { "interim answer only", InChunks, chunkOf(interim), Result::Broken, Problem::RelayEnded, "" },
+        { "interim answer only, the server has ended", InChunks, chunkOf(interim) + last, Result::Broken,
+            Problem::ConnectionEnded, "" },
+        { "HEAD", InChunks, chunkOf(withLength.substr(0, withLength.size() - 16)), Result::Answered, Problem::None, "",
+            true },
+        { "HEAD without a length", InChunks, chunkOf(AsItIs), Result::Answered, Problem::None, "", true },
+        { "HEAD, half of the header", InChunks, chunkOf("HTTP/1.1 200 OK\r\nX: y"), Result::Broken, Problem::RelayEnded,
+            "", true },
         { "bytes behind the last chunk", InChunks, chunkOf(unframed) + last + "more", Result::Broken, Problem::Invalid,
             "" },
         { "no chunks", InChunks, unframed, Result::Broken, Problem::Invalid, "" },
@@ -352,6 +365,7 @@
         HttpExchange::Options options;
         options.relay = RelayTarget{ .relay = relay.address(), .backendServer = "s1" };
         options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        options.isHeadRequest = script.isHeadRequest;
         const auto exchange = std::make_shared<HttpExchange>(
             context, std::move(options), [&end](HttpExchangeEnd ended) { end = std::move(ended); });
         exchange->start(nullptr);
