SpoiltAnswers: the second server comes when the judged request has arrived

On a busy machine the judged request went to the second server, whose sound answer the caller got: the arrangement failed, not a rule. The first server is now the only one until the request has reached it, so that nothing depends on how old its load report is by then. No check has changed.

--- a/Tests/Platform/SpoiltAnswersTest.cpp
+++ b/Tests/Platform/SpoiltAnswersTest.cpp
@@ -66,7 +66,10 @@
     std::unique_ptr<ScriptedServer> server; // backend server i-a
     std::unique_ptr<ScriptedServer> other; // backend server i-b, which is sound and reports more load
 
-    /** Starts an instance with one server, whose next answer to a request is made of these bytes. */
+    /**
+     * Starts an instance with one server, whose next answer to a request is made of these bytes. The other server comes
+     * when this request has arrived, so that the request goes to the first one, however long all that takes.
+     */
     void begin(const Case& item)
     {
         this->instance.reset();
@@ -75,9 +78,10 @@
         this->context = std::make_unique<asio::io_context>();
         this->instance = std::make_unique<LoopbackInstance>(*this->context);
         this->server = std::make_unique<ScriptedServer>(
-            *this->context, [item, left = EarlierRequests](const ScriptedRequest& request) mutable {
+            *this->context, [this, item, left = EarlierRequests](const ScriptedRequest& request) mutable {
                 if (request.isProbe || left-- != 0)
                     return freeAnswer(request);
+                this->instance->putServer("i-b", this->other->address());
                 std::string bytes = item.bytes;
                 const std::size_t mark = bytes.find(IdMark);
                 if (mark != std::string::npos)
@@ -90,7 +94,6 @@
         this->instance->putServer("i-a", this->server->address());
         for (int request = 0; request < EarlierRequests; ++request)
             this->instance->call();
-        this->instance->putServer("i-b", this->other->address());
     }
 };
 
