--- a/Tests/Crowds/PlayCrowd.cpp
+++ b/Tests/Crowds/PlayCrowd.cpp
@@ -2,7 +2,9 @@
 #include "Tests/Crowds/CrowdCase.h"
 #include "Tests/Crowds/CrowdInstance.h"
 #include "Tests/Crowds/PlatformStoreStandIn.h"
+#include "Tests/Crowds/Promise.h"
 #include "Tests/Crowds/SinkServer.h"
+#include "Tests/Crowds/WaitFor.h"
 
 #include <algorithm>
 #include <atomic>
@@ -31,18 +33,6 @@
         + std::to_string(maxBodyBytes) + R"(,"header_timeout":"10000ms","idle_timeout":"300000ms"}})";
 }
 
-template <typename Condition>
-bool waitFor(std::chrono::milliseconds patience, Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end)
-            return false;
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
-    return true;
-}
-
 /** Looks again and again at what a process holds, and keeps the most. */
 class LoadWatch {
 public:
@@ -221,16 +211,6 @@
     return answer;
 }
 
-/** Statuses by which the instance promises that a request has not run. */
-bool isPromise(unsigned status)
-{
-    constexpr unsigned timeout = 408;
-    constexpr unsigned misdirected = 421;
-    constexpr unsigned tooMany = 429;
-    constexpr unsigned unavailable = 503;
-    return status == timeout || status == misdirected || status == tooMany || status == unavailable;
-}
-
 void judgeAnswers(const CrowdCase& item, const Crowd& crowd, const SinkServer& server, CrowdResult& result)
 {
     constexpr unsigned ok = 200;
--- a/Tests/Entries/OddEntries.cc
+++ b/Tests/Entries/OddEntries.cc
@@ -8,6 +8,7 @@
 #include "Tests/Crowds/CrowdInstance.h"
 #include "Tests/Crowds/PlatformStoreStandIn.h"
 #include "Tests/Crowds/SinkServer.h"
+#include "Tests/Crowds/WaitFor.h"
 #include "Tests/Entries/OddEntry.h"
 
 #include <CLI/CLI.hpp>
@@ -17,7 +18,6 @@
 #include <iostream>
 #include <memory>
 #include <string>
-#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -33,18 +33,6 @@
 constexpr const char* ServerKey = "servers/i-sink";
 constexpr const char* OddKey = "servers/i-odd";
 
-template <typename Condition>
-bool waitFor(Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + Patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end)
-            return false;
-        std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    }
-    return true;
-}
-
 /** A configuration whose only route shows in its path which configuration is in force. */
 std::string configuration(std::size_t number)
 {
@@ -100,7 +88,7 @@
             + "/x HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 2000\r\nRequest-Id: ";
         return std::all_of(this->instances.begin(),
             this->instances.begin() + static_cast<std::ptrdiff_t>(this->running), [&](const auto& instance) {
-                return waitFor([&] {
+                return waitFor(Patience, [&] {
                     const std::string id = "r-" + std::to_string(this->requests++);
                     return !instance->isRunning() || callOnce(instance->callers(), head + id + "\r\n\r\n").status == Ok;
                 });
@@ -111,7 +99,7 @@
     bool haveRead()
     {
         constexpr std::size_t watchers = 3;
-        return waitFor([this] { return this->store.watchesPastAll() >= watchers || this->countEnded(); });
+        return waitFor(Patience, [this] { return this->store.watchesPastAll() >= watchers || this->countEnded(); });
     }
 
     std::size_t countEnded()
--- a/Tests/Relays/PlayRelays.cpp
+++ b/Tests/Relays/PlayRelays.cpp
@@ -2,6 +2,8 @@
 #include "Tests/Crowds/CrowdCase.h"
 #include "Tests/Crowds/CrowdInstance.h"
 #include "Tests/Crowds/PlatformStoreStandIn.h"
+#include "Tests/Crowds/Promise.h"
+#include "Tests/Crowds/WaitFor.h"
 #include "Tests/Relays/HalvedAnswerServer.h"
 #include "Tests/Relays/RelayCase.h"
 #include "Tests/Relays/RelayedCaller.h"
@@ -34,28 +36,6 @@
     "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"10000ms",
         "idle_timeout":"300000ms"}})";
 
-template <typename Condition>
-bool waitFor(milliseconds patience, Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end)
-            return false;
-        std::this_thread::sleep_for(milliseconds(1));
-    }
-    return true;
-}
-
-/** Statuses by which an instance promises that a request has not run. */
-bool isPromise(unsigned status)
-{
-    constexpr unsigned timeout = 408;
-    constexpr unsigned misdirected = 421;
-    constexpr unsigned tooMany = 429;
-    constexpr unsigned unavailable = 503;
-    return status == timeout || status == misdirected || status == tooMany || status == unavailable;
-}
-
 /** One server, and three instances of which the first can be cut off from it. */
 class RelayFleet {
 public:
--- a/Tests/Stops/LateRequests.cc
+++ b/Tests/Stops/LateRequests.cc
@@ -7,6 +7,7 @@
 #include "Tests/Crowds/CrowdInstance.h"
 #include "Tests/Crowds/PlatformStoreStandIn.h"
 #include "Tests/Crowds/SinkServer.h"
+#include "Tests/Crowds/WaitFor.h"
 #include "Tests/Stops/LateCaller.h"
 
 #include <CLI/CLI.hpp>
@@ -49,18 +50,6 @@
     milliseconds sending{ 0 }; // from the first byte of a request to its last
 };
 
-template <typename Condition>
-bool waitFor(Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + Patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end)
-            return false;
-        std::this_thread::sleep_for(milliseconds(2));
-    }
-    return true;
-}
-
 /** Why a request was lost; empty if it was not. */
 std::string lossOf(const LateRequest& request, const SinkServer& server)
 {
@@ -90,7 +79,7 @@
         .stopLead = StopLead });
     instance.start();
     const std::string first = "GET /a/x HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 5000\r\nRequest-Id: first\r\n\r\n";
-    if (!waitFor([&] { return instance.isReady() && callOnce(instance.callers(), first).status == Ok; }))
+    if (!waitFor(Patience, [&] { return instance.isReady() && callOnce(instance.callers(), first).status == Ok; }))
         return { "the instance did not serve before the stop" };
     std::vector<std::unique_ptr<LateCaller>> callers;
     constexpr std::size_t callerCount = 24;
@@ -105,7 +94,7 @@
     const auto stoppedAt = std::chrono::steady_clock::now();
     instance.child().expectEnd();
     instance.child().signal(SIGTERM);
-    const bool hasEnded = waitFor([&] { return !instance.isRunning(); });
+    const bool hasEnded = waitFor(Patience, [&] { return !instance.isRunning(); });
     const auto took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - stoppedAt);
     std::vector<std::string> broken;
     if (!hasEnded || took > StopBound)
