Counter relays_ended: attempts broken by the end of the instance that relayed them

Only log lines told how often it happens. LostPath now asks that the plays without blame had such attempts (it asked for relayed ones), and passes. HttpExchange::awaitsServerEnd() says what isRelayGone() meant.

--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -197,14 +197,14 @@
     return true;
 }
 
-bool HttpExchange::isRelayGone() const
+bool HttpExchange::awaitsServerEnd() const
 {
     return this->relayed && !this->relayed->hasServerEnded();
 }
 
 void HttpExchange::readingEnded(const asio::error_code& error)
 {
-    if (error == asio::error::eof && this->isRelayGone())
+    if (error == asio::error::eof && this->awaitsServerEnd())
         return this->finishBroken(AnswerProblem::RelayEnded);
     // An answer without a length ends with an orderly close, not with a reset.
     if (error != asio::error::eof || !this->isAnswerWithoutLength())
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -115,8 +115,8 @@
     bool addInput(std::string_view bytes);
     /** Ends the exchange, or lets its write end it, after the connection's last byte. */
     void readingEnded(const asio::error_code& error);
-    /** True if nothing but the relay's word tells whether the server has ended, and it is missing. */
-    bool isRelayGone() const;
+    /** True while a relay that sends chunks has not told that the server has ended its connection. */
+    bool awaitsServerEnd() const;
     void parse();
     /** Ends the exchange after an orderly end of the connection, once the request's write has ended too. */
     void connectionEnded();
--- a/Source/Http/RelayStreamReader.h
+++ b/Source/Http/RelayStreamReader.h
@@ -15,8 +15,8 @@
 /**
  * Reads a backend server's bytes from what a relay sends.
  *
- * The relay sends them in chunks, and the last chunk once the server has ended its connection in order. The bytes of
- * the server and the word of the relay cannot be confused, whatever either of them breaks off.
+ * The relay sends them in chunks, and the last chunk once the server has ended its connection in order. What
+ * the server sends and what the relay adds cannot be confused, whichever of the two breaks off.
  */
 class RelayStreamReader {
 public:
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -104,6 +104,7 @@
     "last_choices_behind_others",
     "paths_lost",
     "attempts_relayed",
+    "relays_ended",
     "relays_opened",
     "relays_refused",
     "pulls_sent",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -106,6 +106,7 @@
     LastChoicesBehindOthers,
     PathsLost, // backend servers that other instances reach and this one does not
     AttemptsRelayed, // attempts sent through another instance
+    RelaysEnded, // attempts broken by the end of the instance that relayed them
     RelaysOpened, // connections relayed for other instances
     RelaysRefused, // relays that other instances asked for and this one could not give
     PullsSent, // missing changes of the store that this instance asked another one for
--- a/Source/Node/PathManager.cpp
+++ b/Source/Node/PathManager.cpp
@@ -88,8 +88,10 @@
             this->relayedEnded(*flight.relay, server, ConnectOutcome::Connected, now);
         else if (isRelayFailure(end.connect))
             this->relayedEnded(*flight.relay, server, end.connect, now);
-        else if (end.hasRelayEnded)
+        else if (end.hasRelayEnded) {
+            this->dependencies.counters->add(DecisionCount::RelaysEnded);
             this->relayedEnded(*flight.relay, server, ConnectOutcome::RelayDeclined, now);
+        }
         return;
     }
     if (isAnswer(end.result))
--- a/Tests/Node/LostPathTest.cpp
+++ b/Tests/Node/LostPathTest.cpp
@@ -236,16 +236,16 @@
         CutFleet fleet(item);
         fleet.play();
         checkInvariants(fleet.virtualFleet(), item.name);
-        std::uint64_t relayed = 0;
+        std::uint64_t ended = 0;
         for (std::size_t instance = 0; instance < fleet.virtualFleet().size(); ++instance) {
             if (!item.isCut(instance))
                 continue;
             const DecisionCounters& counters = fleet.virtualFleet().node(instance).counters();
             LONGS_EQUAL_TEXT(0, counters.value(DecisionCount::ServerEndsSeen), item.name);
             LONGS_EQUAL_TEXT(0, counters.value(DecisionCount::Ejections), item.name);
-            relayed += counters.value(DecisionCount::AttemptsRelayed);
+            ended += counters.value(DecisionCount::RelaysEnded);
         }
-        CHECK_TEXT(relayed > 0, item.name);
+        CHECK_TEXT(ended > 0, item.name);
     }
 }
 
