--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -2,8 +2,10 @@
 
 #include "Base/ChronoDuration.h"
 
+#include <algorithm>
 #include <asio/connect.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -28,6 +30,11 @@
     return isTooLong ? AnswerProblem::TooLong : AnswerProblem::Invalid;
 }
 
+Milliseconds sinceTime(TimerClock::time_point start)
+{
+    return { std::chrono::duration<double, std::milli>(TimerClock::now() - start).count() };
+}
+
 }
 
 HttpExchange::HttpExchange(asio::io_context& givenContext, Options givenOptions, Completion givenCompletion)
@@ -36,6 +43,7 @@
     , request{ .head = std::move(this->options.request), .body = std::move(this->options.body) }
     , context(&givenContext)
     , timer(givenContext)
+    , holdTimer(givenContext)
 {
 }
 
@@ -167,8 +175,19 @@
     this->read();
 }
 
+void HttpExchange::resume()
+{
+    this->isPaused = false;
+    if (std::exchange(this->isReadDue, false) && !this->isFinished)
+        this->read();
+}
+
 void HttpExchange::read()
 {
+    if (this->isPaused) {
+        this->isReadDue = true;
+        return;
+    }
     this->connection->socket.async_read_some(
         asio::buffer(this->chunk), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
             self->received(error, size);
@@ -181,6 +200,8 @@
         return;
     if (error)
         return this->readingEnded(error);
+    if (this->isHoldWatched)
+        this->lastReadAt = TimerClock::now();
     if (!this->addInput({ this->chunk.data(), size }))
         return this->finishBroken(AnswerProblem::Invalid);
     if (this->options.isIdleTimeout)
@@ -226,11 +247,15 @@
     return this->parser->is_header_done() && this->parser->need_eof();
 }
 
-bool HttpExchange::finishAnswerWithoutLength()
+bool HttpExchange::isServerEndKnown() const
 {
     // An instance of an older version relays the bytes as they are, so that its own end looks like the server's.
-    const bool isEndKnown = !this->options.relay || this->relayed;
-    if (!isEndKnown || !this->input.empty())
+    return !this->options.relay || this->relayed;
+}
+
+bool HttpExchange::finishAnswerWithoutLength()
+{
+    if (!this->isServerEndKnown() || !this->input.empty())
         return false;
     boost::beast::error_code error;
     this->parser->put_eof(error);
@@ -247,7 +272,7 @@
             return;
         if (error && error != http::error::need_more)
             return this->finishBroken(problemOf(error));
-        if (!this->isWithinLimits())
+        if (!this->passBody() || !this->isWithinLimits())
             return;
         if (this->parser->is_done())
             return this->answerComplete();
@@ -256,9 +281,61 @@
     }
     if (this->relayed && this->relayed->hasServerEnded())
         return this->readingEnded(asio::error::eof);
+    this->watchHold();
     this->read();
 }
 
+void HttpExchange::watchHold()
+{
+    if (!this->options.passOn || this->isHoldWatched || !this->mayPassOn())
+        return;
+    this->isHoldWatched = true;
+    this->headerAt = TimerClock::now();
+    this->lastReadAt = this->headerAt;
+    this->holdExpired();
+}
+
+void HttpExchange::holdExpired()
+{
+    const auto passesOnAt = std::min(this->lastReadAt + toDuration(this->options.longestPause),
+        this->headerAt + toDuration(this->options.longestHold));
+    if (TimerClock::now() >= passesOnAt) {
+        HttpResponse header;
+        header.base() = this->parser->get().base();
+        const auto length = this->parser->content_length();
+        this->isPassedOn = this->options.passOn(header, length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+        if (!this->isFinished)
+            this->passBody();
+        return;
+    }
+    this->holdTimer.expires_at(passesOnAt);
+    this->holdTimer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+        if (error || self->isFinished)
+            return;
+        // Bytes that wait to be read are no pause of the server.
+        asio::error_code ignored;
+        if (self->connection->socket.available(ignored))
+            self->lastReadAt = TimerClock::now();
+        self->holdExpired();
+    });
+}
+
+bool HttpExchange::mayPassOn() const
+{
+    const bool isOwn = this->isHeaderAccepted && this->matched == AnswerMatch::Own;
+    if (!isOwn || isInterim(this->parser->get()))
+        return false;
+    return !this->isAnswerWithoutLength() || this->isServerEndKnown();
+}
+
+bool HttpExchange::passBody()
+{
+    if (!this->isPassedOn || !this->parser->get().body().size())
+        return true;
+    this->options.bodyReceived(std::exchange(this->parser->get().body(), {}));
+    return !this->isFinished;
+}
+
 bool HttpExchange::isWithinLimits()
 {
     const std::size_t mostBytes = this->options.maxAnswerBytes + MaxOtherBytes;
@@ -322,8 +399,11 @@
 {
     this->isFinished = true;
     this->timer.cancel();
+    this->holdTimer.cancel();
     this->leaveMemory();
     HttpExchangeEnd end;
+    if (this->isHoldWatched)
+        end.sinceHeader = sinceTime(this->headerAt);
     end.result = result;
     end.problem = this->problem;
     end.isReused = this->isReused;
@@ -358,6 +438,7 @@
 {
     this->isFinished = true;
     this->timer.cancel();
+    this->holdTimer.cancel();
     this->leaveMemory();
     this->resetConnection();
     this->completion = nullptr;
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,7 +35,9 @@
 struct HttpExchangeEnd {
     HttpExchangeResult result = HttpExchangeResult::Broken;
     AnswerProblem problem = AnswerProblem::None; // why the result is Broken
-    std::optional<HttpResponse> response;
+    std::optional<HttpResponse> response; // without its body if that was passed on
+    std::optional<Milliseconds>
+        sinceHeader; // from the answer's header to the end; empty: no header, or all came at once
     std::shared_ptr<HttpConnection> connection; // may be reused; null: it was closed
     bool isReused = false; // the exchange began on a kept connection
     std::error_code connectError; // why no new connection was established; timed_out when nothing answered
@@ -55,6 +58,9 @@
  * relayed connection may be that of the relay, so there the relay must have
  * told that the server has ended.
  *
+ * An answer is held until it is whole, unless the server pauses in the middle of it or takes long for the rest: then
+ * it can be passed on while it comes. What the receiver does not take is not read from the server while it is paused.
+ *
  * A server may send bytes without end. An exchange bounds what it holds of a
  * header, of a line that frames a chunk, and of the body, the number of answers
  * that it skips, and the sum of all bytes; MemoryBound bounds all bodies together.
@@ -84,6 +90,17 @@
          * skipped or break off later, but not for what is no answer. May be empty.
          */
         std::function<void(const HttpResponse&)> headerReceived;
+        /** An answer in the middle of which the server sends nothing for so long is passed on. */
+        Milliseconds longestPause{ 50 };
+        /** An answer that is not whole so long after its header is passed on. */
+        Milliseconds longestHold{ 1000 };
+        /**
+         * Asked once whether an answer of which a part has come is passed on, with its header and the length of its
+         * body if it is known. If so, the body goes to `bodyReceived`, and the response of the end has none. Empty:
+         * answers are held until they are whole.
+         */
+        std::function<bool(const HttpResponse&, std::optional<std::uint64_t>)> passOn;
+        std::function<void(HttpBody)> bodyReceived;
     };
     using Completion = std::function<void(HttpExchangeEnd)>;
 
@@ -100,6 +117,10 @@
     bool hasBegunWriting() const { return this->isWritingBegun; }
     /** Ends the exchange with the result NotSent; has no effect once writing has begun. */
     void abortUnsent();
+    /** Reads nothing from the server until resume() is called. */
+    void pause() { this->isPaused = true; }
+    void resume();
+    bool isReadingPaused() const { return this->isPaused; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::basic_dynamic_body<HttpBody>>;
@@ -121,9 +142,18 @@
     /** Ends the exchange after an orderly end of the connection, once the request's write has ended too. */
     void connectionEnded();
     bool isAnswerWithoutLength() const;
+    /** True if the end of the connection tells that the server has ended it. */
+    bool isServerEndKnown() const;
     bool finishAnswerWithoutLength();
     /** Judges and reports the header once it is complete; false if it ended the exchange. */
     bool acceptHeader();
+    /** The answer is not whole yet: waits until it must be passed on, unless that was decided. */
+    void watchHold();
+    void holdExpired();
+    /** True if a part of the answer can be passed on: the end of the connection will tell whether it is whole. */
+    bool mayPassOn() const;
+    /** Passes on what has come of the body; false if the receiver has cancelled the exchange. */
+    bool passBody();
     void answerComplete();
     /** Checks the limits on received bytes; false if one of them ended the exchange. */
     bool isWithinLimits();
@@ -142,6 +172,9 @@
     EncodedMessage request;
     asio::io_context* context;
     Timer timer;
+    Timer holdTimer;
+    TimerClock::time_point headerAt; // when the header of the answer was accepted
+    TimerClock::time_point lastReadAt;
     unsigned timeoutNumber = 0; // identifies the timeout in force; expiries of earlier ones are ignored
     std::shared_ptr<HttpConnection> connection;
     std::optional<Parser> parser;
@@ -162,6 +195,10 @@
     bool isHeaderAccepted = false; // of the answer that is being read
     AnswerMatch matched = AnswerMatch::Own; // of the answer that is being read
     AnswerProblem problem = AnswerProblem::None;
+    bool isHoldWatched = false; // the hold timer runs, or has told whether the answer is passed on
+    bool isPassedOn = false;
+    bool isPaused = false;
+    bool isReadDue = false; // put off while paused
     bool isFinished = false;
 };
 
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -42,12 +43,16 @@
 
 constexpr std::size_t UsualHeaderBytes = 1024;
 
-/** Returns all bytes that a serializer produces, of which there are about this many. */
-template <typename Serializer>
-std::string serialize(Serializer& serializer, std::size_t expectedBytes)
+/** Serializes a header as it is, with the empty line behind it. */
+template <bool IsRequest>
+std::string encodeHead(http::header<IsRequest, HttpFields>&& header)
 {
+    http::message<IsRequest, http::empty_body> message(std::move(header));
+    http::serializer<IsRequest, http::empty_body> serializer(message);
+    // Behind a header that announces chunks, the empty body would be encoded as the last chunk.
+    serializer.split(true);
     std::string bytes;
-    bytes.reserve(expectedBytes);
+    bytes.reserve(UsualHeaderBytes);
     boost::beast::error_code error;
     const auto append = [&](boost::beast::error_code&, const auto& buffers) {
         std::size_t size = 0;
@@ -57,20 +62,11 @@
         }
         serializer.consume(size);
     };
-    while (!serializer.is_done() && !error)
+    while (!serializer.is_header_done() && !error)
         serializer.next(error, append);
     return bytes;
 }
 
-/** Serializes a header as it is, with the empty line behind it. */
-template <bool IsRequest>
-std::string encodeHead(http::header<IsRequest, HttpFields>&& header)
-{
-    http::message<IsRequest, http::empty_body> message(std::move(header));
-    http::serializer<IsRequest, http::empty_body> serializer(message);
-    return serialize(serializer, UsualHeaderBytes);
-}
-
 bool mayHaveBody(const HttpResponse& response)
 {
     return response.result() != http::status::no_content && response.result() != http::status::not_modified
@@ -198,6 +194,31 @@
     return encoded;
 }
 
+EncodedMessage encodeBegin(HttpResponse response, std::optional<std::uint64_t> length)
+{
+    if (length)
+        response.content_length(*length);
+    else
+        response.chunked(true);
+    return { .head = encodeHead<false>(std::move(response.base())), .body = nullptr };
+}
+
+void encodePiece(HttpBody piece, bool isInChunks, std::vector<EncodedMessage>& messages)
+{
+    EncodedMessage encoded;
+    if (isInChunks)
+        encoded.head = boost::beast::buffers_to_string(http::chunk_header(piece.size()));
+    encoded.body = std::make_shared<const HttpBody>(std::move(piece));
+    messages.push_back(std::move(encoded));
+    if (isInChunks)
+        messages.push_back({ .head = "\r\n", .body = nullptr });
+}
+
+EncodedMessage encodeLastChunk()
+{
+    return { .head = "0\r\n\r\n", .body = nullptr };
+}
+
 double keepAliveSeconds(const HttpFields& fields)
 {
     constexpr std::string_view parameter = "timeout=";
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -7,7 +7,9 @@
 #include <boost/beast/http/basic_dynamic_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +67,16 @@
 /** Encodes an answer. An answer to HEAD keeps its Content-Length but not its body. */
 EncodedMessage encode(HttpResponse response, bool isAnswerToHead);
 
+/**
+ * Encodes the header of an answer whose body follows piece by piece: as so many bytes, or in chunks if there is no
+ * length.
+ */
+EncodedMessage encodeBegin(HttpResponse response, std::optional<std::uint64_t> length);
+/** Appends the encoded parts of a piece of such a body; the piece is not empty. */
+void encodePiece(HttpBody piece, bool isInChunks, std::vector<EncodedMessage>& messages);
+/** What ends a body in chunks. */
+EncodedMessage encodeLastChunk();
+
 /** Returns the seconds N of "Keep-Alive: timeout=N"; negative if the field or the parameter is missing. */
 double keepAliveSeconds(const HttpFields& fields);
 
--- a/Source/Http/HttpSession.cpp
+++ b/Source/Http/HttpSession.cpp
@@ -332,13 +332,75 @@
         this->writeReady();
 }
 
+void HttpSession::beginAnswer(HttpRequestNumber request, HttpResponse header, std::optional<std::uint64_t> length)
+{
+    if (this->socket.is_open() && this->answers.beginAnswer(request, std::move(header), length))
+        this->writeReady();
+}
+
+void HttpSession::addBody(HttpRequestNumber request, HttpBody piece)
+{
+    if (!this->socket.is_open())
+        return;
+    this->answers.addBody(request, std::move(piece));
+    if (this->isWriting())
+        return this->noteMemory();
+    this->writeReady();
+}
+
+void HttpSession::endAnswer(HttpRequestNumber request)
+{
+    if (!this->socket.is_open())
+        return;
+    this->lastActive = this->clock->now();
+    this->answers.endAnswer(request);
+    this->writeReady();
+    if (!this->isWriting())
+        this->processInput();
+}
+
+bool HttpSession::breakAnswer(HttpRequestNumber request)
+{
+    if (!this->socket.is_open())
+        return true;
+    if (this->answers.withdrawAnswer(request))
+        return false;
+    this->answers.clear();
+    this->closesAfterNewest = true;
+    this->isRefused = true;
+    this->isClosing = true;
+    this->input.clear();
+    this->completeRequest.reset();
+    this->resetParser();
+    this->noteMemory();
+    // Answers to earlier requests may still be on their way to the caller.
+    if (!this->isWriting())
+        this->endSending();
+    this->handler->callerGone(this->shared_from_this());
+    return true;
+}
+
+void HttpSession::endSending()
+{
+    this->lingersUntil = this->clock->now() + LingerTime;
+    // Closing the socket while the caller still sends would reset the connection, and the caller could lose the answer.
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void HttpSession::writeReady()
 {
     if (this->isWriting())
         return;
     this->output = this->answers.takeReady(this->closesAfterNewest);
-    if (!this->isWriting())
+    if (!this->isWriting()) {
+        // Of an answer with a length, nothing is left to be written at its end.
+        if (this->output.isLast) {
+            this->isClosing = true;
+            this->endSending();
+        }
         return;
+    }
     this->isClosing = this->output.isLast;
     this->noteMemory();
     if (!this->socket.is_open())
@@ -363,14 +425,11 @@
         return this->abandon();
     this->lastActive = this->clock->now();
     this->output = {};
-    if (this->isClosing) {
-        this->lingersUntil = this->lastActive + LingerTime;
-        // Closes only the sending side: closing the socket while the caller still sends would reset the connection,
-        // and the caller could lose the answer.
-        asio::error_code ignored;
-        this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    }
+    if (this->isClosing)
+        this->endSending();
     this->writeReady();
+    if (this->answers.hasUnanswered())
+        this->handler->answersTaken(this->shared_from_this());
     this->processInput();
 }
 
--- a/Source/Http/HttpSession.h
+++ b/Source/Http/HttpSession.h
@@ -62,6 +62,8 @@
     virtual void sessionRefused() { }
     /** Called when a connection was lost while some of its requests had no answer. */
     virtual void callerGone(const std::shared_ptr<HttpSession>& session) = 0;
+    /** Called when a caller has taken what was written to it while some of its requests have no whole answer. */
+    virtual void answersTaken(const std::shared_ptr<HttpSession>&) { }
 };
 
 /** How readily a session is closed to make room for a new one, from last to first. */
@@ -84,11 +86,10 @@
 /**
  * A caller's connection.
  *
- * Reads requests and passes them to the handler. A pipelined request is passed
- * on before earlier ones are answered only if the handler allows it and the
- * number of unfinished requests is below a limit; otherwise it waits. Answers
- * are written in the order of the requests. Reading goes on while answers are
- * awaited, to notice when the caller closes the connection.
+ * Reads requests and passes them to the handler. An answer is written whole, or piece by piece while it comes. A
+ * pipelined request is passed on before earlier ones are answered only if the handler allows it and the number of
+ * unfinished requests is below a limit; otherwise it waits. Answers are written in the order of the requests. Reading
+ * goes on while answers are awaited, to notice when the caller closes the connection.
  *
  * What the caller has sent and not taken counts against a bound on memory. If it gives way to others, a request that is
  * not complete is refused, and a caller that does not take its answers loses its connection. After a refusal, what the
@@ -112,6 +113,22 @@
     void start();
     /** Answers a request. The answer is written once the answers to all earlier requests are. */
     void answer(HttpRequestNumber request, HttpResponse response);
+    /**
+     * Begins the answer to a request with its header; the body follows by addBody() and has this length, or ends with
+     * endAnswer(). Nothing is written before the answers to all earlier requests are.
+     */
+    void beginAnswer(HttpRequestNumber request, HttpResponse header, std::optional<std::uint64_t> length);
+    void addBody(HttpRequestNumber request, HttpBody piece);
+    /** The begun answer is whole. */
+    void endAnswer(HttpRequestNumber request);
+    /**
+     * The begun answer will never be whole. Ends the connection in the middle of it, so that the caller sees that it
+     * is broken, and calls callerGone() of the handler if other requests have no answer. Returns false if nothing of
+     * the answer was written yet: the request must then be answered in another way.
+     */
+    bool breakAnswer(HttpRequestNumber request);
+    /** Bytes of answers that wait to be written or taken by the caller. */
+    std::size_t outgoingBytes() const { return this->output.size() + this->answers.waitingBytes(); }
     /** From now on, no request starts while another is unfinished; the last answer closes the connection. */
     void closeAfterAnswer() { this->closesAfterNewest = true; }
     void close();
@@ -148,8 +165,6 @@
     void dropBytes() override;
     /** Bytes of what the caller has sent and was not passed on; with an estimate of what was not read yet. */
     std::size_t incomingBytes() const;
-    /** Bytes of the answers that the caller has not taken. */
-    std::size_t outgoingBytes() const { return this->output.size() + this->answers.waitingBytes(); }
     /** True if most of what this session holds is a request that was not passed on. */
     bool holdsRequest() const;
     /** Counts what this session holds; may drop it. */
@@ -174,6 +189,8 @@
     void sendContinueIfExpected();
     void writeReady();
     void written(const asio::error_code& error);
+    /** Closes the sending side; what the caller still sends is read and dropped for some seconds. */
+    void endSending();
     /** Closes the connection, and calls callerGone() of the handler if a request has no answer. */
     void abandon();
 
--- a/Source/Http/MemoryBound.h
+++ b/Source/Http/MemoryBound.h
@@ -31,6 +31,8 @@
     /** Takes effect when bytes are next added. */
     void setMaxBytes(std::size_t most) { this->maxBytes = most; }
     std::size_t total() const { return this->sum; }
+    /** True while more than half of the bound is in use. */
+    bool isScarce() const { return this->sum > this->maxBytes / 2; }
     std::size_t dropped() const { return this->droppedCount; }
 
 private:
--- a/Source/Metrics/Reasons.cpp
+++ b/Source/Metrics/Reasons.cpp
@@ -67,6 +67,8 @@
     "requests_arrived",
     "first_attempts",
     "answered",
+    "answers_begun",
+    "answers_broken_off",
     "refused_not_run",
     "refused_unknown",
     "retries_denied",
--- a/Source/Metrics/Reasons.h
+++ b/Source/Metrics/Reasons.h
@@ -68,6 +68,8 @@
     RequestsArrived,
     FirstAttempts,
     Answered,
+    AnswersBegun, // answers passed on to their callers while they came
+    AnswersBrokenOff, // of these, the ones that were not whole at their end
     RefusedNotRun, // refused with outcome "not run"
     RefusedUnknown, // refused with outcome "unknown"
     RetriesDenied, // denied by the retry budget
--- a/Source/Node/Actions.h
+++ b/Source/Node/Actions.h
@@ -48,13 +48,22 @@
     AttemptNumber attempt = 0;
 };
 
-/** Forward the complete answer of this attempt to the caller. */
+/** Pass the answer of this attempt on to the caller while it comes; its end is reported with AttemptEnded. */
+struct BeginAnswer {
+    RequestNumber request = 0;
+    AttemptNumber attempt = 0;
+};
+
+/** Forward the complete answer of this attempt to the caller, or end the one that was begun. */
 struct ForwardAnswer {
     RequestNumber request = 0;
     AttemptNumber attempt = 0;
 };
 
-/** Answer the caller with an error instead of a backend server's answer. */
+/**
+ * Answer the caller with an error instead of a backend server's answer. If a part of an answer was written already, its
+ * connection is ended instead, so that the caller sees that the answer is broken.
+ */
 struct RefuseRequest {
     RequestNumber request = 0;
     RefusedOutcome outcome = RefusedOutcome::NotRun;
@@ -135,9 +144,9 @@
     v1::ShowInForceAnswer answer;
 };
 
-using Action = std::variant<SendAttempt, CancelAttempt, ForwardAnswer, RefuseRequest, SendProbe, StopSendingTo,
-    CheckServer, AnswerRelay, SetCallerLimits, SendToPeer, CallStore, TranslateItem, AnswerChange, AnswerInForce,
-    DecisionRecord>;
+using Action = std::variant<SendAttempt, CancelAttempt, BeginAnswer, ForwardAnswer, RefuseRequest, SendProbe,
+    StopSendingTo, CheckServer, AnswerRelay, SetCallerLimits, SendToPeer, CallStore, TranslateItem, AnswerChange,
+    AnswerInForce, DecisionRecord>;
 using Actions = std::vector<Action>;
 
 }
--- a/Source/Node/Events.cpp
+++ b/Source/Node/Events.cpp
@@ -19,6 +19,11 @@
     return "caller_gone";
 }
 
+std::string_view nameOf(const AnswerBegun&)
+{
+    return "answer_begun";
+}
+
 std::string_view nameOf(const AttemptEnded&)
 {
     return "attempt_ended";
--- a/Source/Node/Events.h
+++ b/Source/Node/Events.h
@@ -50,6 +50,16 @@
     RequestNumber request = 0;
 };
 
+/**
+ * A part of the answer to an attempt has come, and the rest may take long: the header, and what came behind it.
+ * Answered with BeginAnswer if the caller gets the answer while it comes; otherwise it is held until it is whole.
+ */
+struct AnswerBegun {
+    RequestNumber request = 0;
+    AttemptNumber attempt = 0;
+    AttemptEnd end; // as if the answer were whole
+};
+
 /** An attempt requested by SendAttempt has ended. */
 struct AttemptEnded {
     RequestNumber request = 0;
@@ -147,9 +157,9 @@
 /** The time returned by Node::nextControlDue() was reached. */
 struct ControlTimer { };
 
-using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AttemptEnded, ServerNoticed, UnreadFieldSeen,
-    ProbeEnded, ServerChecked, RelayAsked, RelayConnectFailed, PeerMessageArrived, StoreAnswered, ItemTranslated,
-    SeedsChanged, ChangeAsked, InForceAsked, StopAsked, RequestTimer, ControlTimer>;
+using Event = std::variant<RequestArrived, RefusedEarly, CallerGone, AnswerBegun, AttemptEnded, ServerNoticed,
+    UnreadFieldSeen, ProbeEnded, ServerChecked, RelayAsked, RelayConnectFailed, PeerMessageArrived, StoreAnswered,
+    ItemTranslated, SeedsChanged, ChangeAsked, InForceAsked, StopAsked, RequestTimer, ControlTimer>;
 
 /** The event's name in log lines; for a peer's message, the kind of its body. */
 std::string_view nameOf(const Event& event);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -122,6 +122,11 @@
     this->flow.callerGone(event, now, actions);
 }
 
+void Node::dispatch(const AnswerBegun& event, Milliseconds now, Actions& actions)
+{
+    this->flow.answerBegun(event, now, actions);
+}
+
 void Node::dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
     const auto server = this->flow.attemptEnded(event, now, actions);
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -112,6 +112,7 @@
     void dispatch(const RequestArrived& event, Milliseconds now, Actions& actions);
     void dispatch(const RefusedEarly& event, Milliseconds now, Actions& actions);
     void dispatch(const CallerGone& event, Milliseconds now, Actions& actions);
+    void dispatch(const AnswerBegun& event, Milliseconds now, Actions& actions);
     void dispatch(const AttemptEnded& event, Milliseconds now, Actions& actions);
     void dispatch(const ServerNoticed& event, Milliseconds now, Actions& actions);
     void dispatch(const UnreadFieldSeen& event, Milliseconds now, Actions& actions);
--- a/Source/Node/RequestFlow.cpp
+++ b/Source/Node/RequestFlow.cpp
@@ -318,6 +318,27 @@
     this->dependencies.paths->attemptSent(request.flights.back());
 }
 
+void RequestFlow::answerBegun(const AnswerBegun& event, Milliseconds now, Actions& actions)
+{
+    const auto found = this->requests.find(event.request);
+    if (found == this->requests.end() || found->second.phase != RequestPhase::Sending)
+        return;
+    RequestState& request = found->second;
+    const auto isThis = [&](const Flight& item) { return item.attempt == event.attempt; };
+    if (event.end.result != AttemptResult::Answered
+        || std::none_of(request.flights.begin(), request.flights.end(), isThis))
+        return;
+    this->noteOvertaken(request, event.attempt, now);
+    this->cancelOthers(request, event.attempt, now, actions);
+    Flight& flight = request.flights.front();
+    flight.answerBeganAt = now;
+    flight.server->answerBegan(flight.attempt, now);
+    request.phase = RequestPhase::Answering;
+    this->dependencies.counters->add(DecisionCount::AnswersBegun);
+    actions.emplace_back(recordOfAnswerBegun(request, flight, event.end, now));
+    actions.emplace_back(BeginAnswer{ .request = request.number, .attempt = flight.attempt });
+}
+
 std::shared_ptr<BackendServerState> RequestFlow::attemptEnded(
     const AttemptEnded& event, Milliseconds now, Actions& actions)
 {
@@ -358,9 +379,9 @@
         request.service->addAttemptTime(*request.route, now - flight.sentAt, now);
     if (end.result == AttemptResult::Answered) {
         this->dependencies.limits->answered(server, flight.sentAt, now, actions);
-        request.service->addResponseTime(*request.route, now - flight.sentAt);
+        request.service->addResponseTime(*request.route, flight.answerTime(now));
         if (flight.isUnhindered)
-            request.service->addUnloadedTime(*request.route, now - flight.sentAt);
+            request.service->addUnloadedTime(*request.route, flight.answerTime(now));
         return;
     }
     if (end.result == AttemptResult::Broken && !end.hasRelayEnded)
@@ -380,6 +401,9 @@
     // Another attempt may still succeed. It may also never be answered, so a new hedge is allowed.
     if (!request.flights.empty())
         return this->hedges.attemptFailed(request, now);
+    // Nothing can follow an answer of which the caller has a part.
+    if (request.phase == RequestPhase::Answering)
+        return this->refuse(request, RefusalReason::AnswerBroken, now, actions);
     if (this->tryRetry(request, event.end, now, actions))
         return;
     if (event.end.result != AttemptResult::ErrorAnswer || !mayPassErrorAnswer(*request.route, event.end))
@@ -429,16 +453,20 @@
         this->send(request, std::move(server), now, actions);
 }
 
+void RequestFlow::noteOvertaken(const RequestState& request, AttemptNumber winner, Milliseconds now) const
+{
+    if (request.flights.empty() || winner <= request.flights.front().attempt)
+        return;
+    this->dependencies.counters->add(DecisionCount::HedgesWon);
+    this->dependencies.rollouts->overtaken(request, request.flights.front(), now);
+}
+
 void RequestFlow::passAnswer(
     RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions)
 {
     this->dependencies.counters->add(DecisionCount::Answered);
     this->dependencies.crashes->answered(request, now, actions);
-    const bool isOvertaken = !request.flights.empty() && flight.attempt > request.flights.front().attempt;
-    if (isOvertaken) {
-        this->dependencies.counters->add(DecisionCount::HedgesWon);
-        this->dependencies.rollouts->overtaken(request, request.flights.front(), now);
-    }
+    this->noteOvertaken(request, flight.attempt, now);
     actions.emplace_back(recordOfAnswered(request, flight, end, now));
     actions.emplace_back(ForwardAnswer{ .request = request.number, .attempt = flight.attempt });
     this->close(request, now, actions);
@@ -446,18 +474,29 @@
 
 void RequestFlow::refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions)
 {
+    if (request.phase == RequestPhase::Answering)
+        this->dependencies.counters->add(DecisionCount::AnswersBrokenOff);
     this->refuser.refuse(request, reason, now, actions);
     this->close(request, now, actions);
 }
 
-void RequestFlow::close(RequestState& request, Milliseconds now, Actions& actions)
+void RequestFlow::cancelOthers(RequestState& request, AttemptNumber kept, Milliseconds now, Actions& actions) const
 {
     const AttemptEnd cancelled{ .result = AttemptResult::Cancelled };
     for (const Flight& flight : request.flights) {
+        if (flight.attempt == kept)
+            continue;
         flight.server->ended(flight.attempt, cancelled, {}, now);
         this->dependencies.paths->attemptEnded(flight, cancelled, now, actions);
         actions.emplace_back(CancelAttempt{ .request = request.number, .attempt = flight.attempt });
     }
+    std::erase_if(request.flights, [kept](const Flight& flight) { return flight.attempt != kept; });
+}
+
+void RequestFlow::close(RequestState& request, Milliseconds now, Actions& actions)
+{
+    constexpr AttemptNumber none = 0;
+    this->cancelOthers(request, none, now, actions);
     if (request.service && request.phase == RequestPhase::Waiting)
         request.service->queue.remove(request.number);
     this->dependencies.quotas->requestEnded(request, now);
@@ -510,6 +549,10 @@
             return;
         }
         return this->refuse(request, refusalAfterWaiting(request), now, actions);
+    case RequestPhase::Answering:
+        if (isLate)
+            this->timedOut(request, now, actions);
+        return;
     case RequestPhase::Sending:
         if (isLate)
             return this->timedOut(request, now, actions);
--- a/Source/Node/RequestFlow.h
+++ b/Source/Node/RequestFlow.h
@@ -32,7 +32,8 @@
  * its customer is limited. A few backend servers are probed for their load, and
  * the request waits in the queue for a server with free capacity. A failed
  * attempt is retried and a slow one is hedged, as far as the route and the
- * retry budget allow. The caller gets the first complete answer, or a refusal.
+ * retry budget allow. The caller gets the first complete answer, or a refusal. An answer that takes long behind its
+ * header is passed on while it comes; from then on the request is neither retried nor hedged.
  *
  * A run-once request is sent again only after proof that it did not run, and
  * the caller is told "not run" only with such proof. A request that cannot
@@ -67,6 +68,8 @@
 
     void arrived(const RequestArrived& event, Milliseconds now, Actions& actions);
     void callerGone(const CallerGone& event, Milliseconds now, Actions& actions);
+    /** A part of an answer has come: its caller gets it while the rest comes, unless the request may be tried again. */
+    void answerBegun(const AnswerBegun& event, Milliseconds now, Actions& actions);
     /** Returns the server that the attempt was sent to, or null when the request or the attempt is no longer open. */
     std::shared_ptr<BackendServerState> attemptEnded(const AttemptEnded& event, Milliseconds now, Actions& actions);
     /** A load report of this backend server has arrived, or its probe has failed. */
@@ -111,10 +114,14 @@
     bool tryRetry(RequestState& request, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void hedge(RequestState& request, Milliseconds now, Actions& actions);
     void checkSilentPaths(RequestState& request, Milliseconds now, Actions& actions) const;
+    /** Counts a hedge that has answered before the attempt that it was sent beside. */
+    void noteOvertaken(const RequestState& request, AttemptNumber winner, Milliseconds now) const;
     void passAnswer(
         RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now, Actions& actions);
     void refuse(RequestState& request, RefusalReason reason, Milliseconds now, Actions& actions);
     void timedOut(RequestState& request, Milliseconds now, Actions& actions);
+    /** Cancels all attempts in flight but this one. */
+    void cancelOthers(RequestState& request, AttemptNumber kept, Milliseconds now, Actions& actions) const;
     void close(RequestState& request, Milliseconds now, Actions& actions);
     void tickRequest(RequestState& request, Milliseconds now, Actions& actions);
 
--- a/Source/Node/RequestRecords.cpp
+++ b/Source/Node/RequestRecords.cpp
@@ -11,6 +11,15 @@
     return outcome == RefusedOutcome::NotRun ? "not_run" : "unknown";
 }
 
+/** Adds what tells in which part of an answer its end came. */
+void addAnswerEnd(DecisionRecord& record, const Flight& flight, const AttemptEnd& end)
+{
+    if (end.sinceHeader)
+        record.with("since_header", end.sinceHeader->count);
+    if (flight.answerBeganAt)
+        record.with("passed_on_bytes", end.passedOnBytes);
+}
+
 DecisionRecord withHoldReason(DecisionRecord record, const RequestState& request)
 {
     if (request.heldBy)
@@ -55,6 +64,17 @@
     return withHoldReason(std::move(record), request);
 }
 
+DecisionRecord recordOfAnswerBegun(
+    const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
+{
+    DecisionRecord record = recordOfRequest(RecordTopic::Request, "answer_begun", request);
+    return record.with("server", flight.server->id())
+        .with("status", static_cast<std::uint64_t>(end.status))
+        .with("attempts", std::uint64_t{ request.attempts })
+        .with("took", (now - request.arrivedAt).count)
+        .with("at_server", (now - flight.sentAt).count);
+}
+
 DecisionRecord recordOfFailed(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now)
 {
@@ -64,6 +84,7 @@
         .with("connect", burlreach::nameOf(end.connect))
         .with("status", static_cast<std::uint64_t>(end.status))
         .with("took", (now - flight.sentAt).count);
+    addAnswerEnd(record, flight, end);
     if (flight.relay)
         record.with("relay", flight.relay->host);
     // The server may have crashed while running the request; these fields identify the same request in other records.
@@ -96,6 +117,7 @@
         .with("attempts", std::uint64_t{ request.attempts })
         .with("took", (now - request.arrivedAt).count)
         .with("at_server", (now - flight.sentAt).count);
+    addAnswerEnd(record, flight, end);
     if (request.hedgeDenial)
         record.with("no_hedge", burlreach::nameOf(*request.hedgeDenial));
     return record;
--- a/Source/Node/RequestRecords.h
+++ b/Source/Node/RequestRecords.h
@@ -23,6 +23,9 @@
 /** The log record of an attempt sent to a backend server, with the load data on which the choice was based. */
 DecisionRecord recordOfSent(
     const RequestState& request, const BackendServerState& server, const KnowledgeUsed& used, Milliseconds now);
+/** The log record of an answer that is passed on while it comes. */
+DecisionRecord recordOfAnswerBegun(
+    const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now);
 DecisionRecord recordOfFailed(
     const RequestState& request, const Flight& flight, const AttemptEnd& end, Milliseconds now);
 /** The log record of a retry that the budget did not allow, with the inputs of that decision. */
--- a/Source/Node/RequestState.h
+++ b/Source/Node/RequestState.h
@@ -20,7 +20,8 @@
     AwaitingCredit, // its customer has a quota, and the granting instance has been asked for credit
     Probing, // waits for load reports of a few backend servers
     Waiting, // waits in the queue for a backend server with free capacity
-    Sending // one or more attempts are in flight
+    Sending, // one or more attempts are in flight
+    Answering // its caller gets the answer of the only attempt in flight while it comes
 };
 
 /** Interval at which waiting requests are retried: no event is raised when a server's pause after a refusal ends. */
@@ -34,6 +35,10 @@
     bool isUnhindered = false; // the server's last load report showed free slots and no slowness
     bool hadRoom = false; // to this instance's knowledge, the server had a free slot for it
     std::optional<NetworkAddress> relay; // the instance through which it was sent; empty: directly
+    std::optional<Milliseconds> answerBeganAt; // when its answer began to be passed on; empty: it is held until whole
+
+    /** The time until the server had answered; the rest of a long answer says nothing about the server. */
+    Milliseconds answerTime(Milliseconds now) const { return this->answerBeganAt.value_or(now) - this->sentAt; }
 };
 
 /** A request from its arrival to its final answer. */
@@ -77,6 +82,8 @@
             return std::min(this->search.roundEndsAt, this->deadline);
         case RequestPhase::Waiting:
             return std::min(this->waitUntil, this->deadline);
+        case RequestPhase::Answering:
+            return this->deadline;
         case RequestPhase::Sending:
             break;
         }
--- a/Source/Routing/AttemptResult.h
+++ b/Source/Routing/AttemptResult.h
@@ -51,6 +51,8 @@
     bool claimsNotRun = false; // the status implies "not run", but the answer does not prove it
     std::string_view problem; // for log lines: why what came is not the answer; static text
     ConnectOutcome connect = ConnectOutcome::Connected;
+    std::optional<Milliseconds> sinceHeader; // from the header to the end; empty: no header, or all came at once
+    std::uint64_t passedOnBytes = 0; // of the body, passed on to the caller while they came
     bool hasRelayEnded = false; // broken by the instance that relayed the connection; the server is not to blame
 };
 
--- a/Source/Routing/BackendServerState.cpp
+++ b/Source/Routing/BackendServerState.cpp
@@ -80,6 +80,14 @@
         .permit = this->sendPermits.take(now) });
 }
 
+void BackendServerState::answerBegan(AttemptNumber attempt, Milliseconds now)
+{
+    for (InFlightAttempt& flight : this->flights) {
+        if (flight.attempt == attempt)
+            flight.answerBeganAt = now;
+    }
+}
+
 FinishedAttempt BackendServerState::ended(
     AttemptNumber attempt, const AttemptEnd& end, Milliseconds expected, Milliseconds now)
 {
@@ -96,7 +104,8 @@
     this->updateEstimates(end, ended, expected, now);
     if (end.result != AttemptResult::Answered || expected.count <= 0)
         return {};
-    return { .relativeTime = (now - ended.sentAt) / expected / reportedSlowdown(end), .slotUse = ended.slotUse };
+    const Milliseconds took = ended.answerBeganAt.value_or(now) - ended.sentAt;
+    return { .relativeTime = took / expected / reportedSlowdown(end), .slotUse = ended.slotUse };
 }
 
 void BackendServerState::updateEstimates(
@@ -137,7 +146,8 @@
     if (expected.count <= 0)
         return;
     // The slowdown that the server reports is temporary and is accounted for separately.
-    const double sample = (now - flight.sentAt) / expected / flight.requestsPerSlot / reportedSlowdown(end);
+    const Milliseconds took = flight.answerBeganAt.value_or(now) - flight.sentAt;
+    const double sample = took / expected / flight.requestsPerSlot / reportedSlowdown(end);
     const double before = this->slowness(now);
     this->slownessEstimate = std::min(HighestSlowness, before + (sample - before) * SampleShare);
     this->slownessAt = now;
--- a/Source/Routing/BackendServerState.h
+++ b/Source/Routing/BackendServerState.h
@@ -37,6 +37,8 @@
     void setConnectionShare(std::size_t share) { this->connectionShare = share; }
 
     void sent(AttemptNumber attempt, Milliseconds now);
+    /** The server has answered the attempt; the rest of a long answer does not make it slower. */
+    void answerBegan(AttemptNumber attempt, Milliseconds now);
     /**
      * Ends an attempt and updates the estimates from its outcome. `expected` is the time that such a request takes
      * at an average server; zero when it is not known.
@@ -104,6 +106,7 @@
     struct InFlightAttempt {
         AttemptNumber attempt = 0;
         Milliseconds sentAt;
+        std::optional<Milliseconds> answerBeganAt;
         double requestsPerSlot = 1; // requests per slot at the server when this one was sent, at least 1
         double slotUse = 0; // share of the slots in use, from a fresh report; 0: there was none
         std::optional<SendPermit> permit; // the permit that it used, if any
--- a/Source/Traffic/RequestForwarder.cpp
+++ b/Source/Traffic/RequestForwarder.cpp
@@ -86,6 +86,8 @@
 {
     this->listener.closeExpiredSessions();
     this->connections.closeExpired();
+    for (const auto& [number, request] : this->requests)
+        this->resumeAnswer(request);
     this->dependencies.metrics->openSessions = this->listener.sessions();
     this->dependencies.metrics->heldBytes = this->memory->total();
     this->dependencies.metrics->droppedForMemory = this->memory->dropped();
@@ -237,6 +239,11 @@
               const HttpResponse& header) { this->answerHeaderReceived(server, life, now, header); };
     const RequestNumber number = action.request;
     const AttemptNumber attempt = action.attempt;
+    exchange.passOn = [this, number, attempt](const HttpResponse& header, std::optional<std::uint64_t> length) {
+        return this->passOn(number, attempt, header, length);
+    };
+    exchange.bodyReceived
+        = [this, number, attempt](HttpBody piece) { this->passBody(number, attempt, std::move(piece)); };
     Attempt& started = request.attempts[attempt];
     started.backendServer = action.backendServer;
     started.sentAt = now;
@@ -264,6 +271,78 @@
             .backendServer = backendServer, .field = std::move(field.name), .value = std::move(field.value) });
 }
 
+bool RequestForwarder::passOn(
+    RequestNumber number, AttemptNumber attempt, const HttpResponse& header, std::optional<std::uint64_t> length)
+{
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end())
+        return false;
+    // The end of the connection would have to tell such a caller that the answer is whole, and does so too easily.
+    if (!length && found->second.message.version() < HttpVersion)
+        return false;
+    Attempt& begun = found->second.attempts[attempt];
+    begun.response = header;
+    begun.bodyLength = length;
+    this->dependencies.sink->post(AnswerBegun{ .request = number,
+        .attempt = attempt,
+        .end = this->dependencies.dialect->readAnswer(header, begun.backendServer) });
+    // Handling the event may have ended the request.
+    const auto present = this->requests.find(number);
+    return present != this->requests.end() && present->second.attempts[attempt].isPassedOn;
+}
+
+void RequestForwarder::execute(const BeginAnswer& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    Attempt& begun = found->second.attempts[action.attempt];
+    if (!begun.response)
+        return;
+    begun.isPassedOn = true;
+    HttpResponse header = *begun.response;
+    removeHopByHopFields(header);
+    this->dependencies.dialect->writeAnswer(header);
+    // A copy, since the session may end its requests.
+    const auto session = found->second.session;
+    session->beginAnswer(found->second.sessionRequest, std::move(header), begun.bodyLength);
+}
+
+void RequestForwarder::passBody(RequestNumber number, AttemptNumber attempt, HttpBody piece)
+{
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end())
+        return;
+    Attempt& begun = found->second.attempts[attempt];
+    begun.passedOnBytes += piece.size();
+    const auto exchange = begun.exchange;
+    const auto session = found->second.session;
+    session->addBody(found->second.sessionRequest, std::move(piece));
+    if (exchange && this->mustWaitForCaller(*session))
+        exchange->pause();
+}
+
+bool RequestForwarder::mustWaitForCaller(const HttpSession& session) const
+{
+    return session.outgoingBytes() > this->options.maxUntakenBytes && this->memory->isScarce();
+}
+
+void RequestForwarder::resumeAnswer(const Request& request) const
+{
+    for (const auto& [attempt, item] : request.attempts) {
+        const bool isPaused = item.exchange && item.exchange->isReadingPaused();
+        if (isPaused && !this->mustWaitForCaller(*request.session))
+            item.exchange->resume();
+    }
+}
+
+void RequestForwarder::answersTaken(const std::shared_ptr<HttpSession>& session)
+{
+    const auto [first, end] = this->requestsBySession.equal_range(session->number());
+    for (auto item = first; item != end; ++item)
+        this->resumeAnswer(this->requests.at(item->second));
+}
+
 AttemptEnd RequestForwarder::attemptEndOf(const HttpExchangeEnd& end, const std::string& backendServer) const
 {
     if (end.response) {
@@ -293,6 +372,8 @@
     event.attempt = attempt;
     event.backendServer = ended.backendServer;
     event.end = this->attemptEndOf(end, ended.backendServer);
+    event.end.sinceHeader = end.sinceHeader;
+    event.end.passedOnBytes = ended.passedOnBytes;
     this->dependencies.metrics->answersOverLimit += isOverLimit(end.problem) ? 1 : 0;
     this->returnConnection(ended.backendServer, end);
     ended.response = std::move(end.response);
@@ -329,9 +410,13 @@
     std::optional<HttpResponse> response = std::move(found->second.attempts[action.attempt].response);
     if (!response)
         return;
+    this->dependencies.metrics->answered.add(this->dependencies.clock->now() - found->second.arrivedAt);
+    if (found->second.attempts[action.attempt].isPassedOn) {
+        const Request ended = this->removeRequest(action.request);
+        return ended.session->endAnswer(ended.sessionRequest);
+    }
     removeHopByHopFields(*response);
     this->dependencies.dialect->writeAnswer(*response);
-    this->dependencies.metrics->answered.add(this->dependencies.clock->now() - found->second.arrivedAt);
     this->sendAnswer(action.request, std::move(*response));
 }
 
@@ -341,24 +426,37 @@
     if (found == this->requests.end())
         return;
     this->dependencies.metrics->refused.add(this->dependencies.clock->now() - found->second.arrivedAt);
-    this->sendAnswer(action.request, this->dependencies.dialect->makeRefusal(action, found->second.requestId));
+    HttpResponse refusal = this->dependencies.dialect->makeRefusal(action, found->second.requestId);
+    const auto& attempts = found->second.attempts;
+    const bool isBegun
+        = std::any_of(attempts.begin(), attempts.end(), [](const auto& item) { return item.second.isPassedOn; });
+    if (!isBegun)
+        return this->sendAnswer(action.request, std::move(refusal));
+    const Request ended = this->removeRequest(action.request);
+    if (!ended.session->breakAnswer(ended.sessionRequest))
+        ended.session->answer(ended.sessionRequest, std::move(refusal));
 }
 
 void RequestForwarder::sendAnswer(RequestNumber number, HttpResponse response)
+{
+    const Request ended = this->removeRequest(number);
+    ended.session->answer(ended.sessionRequest, std::move(response));
+}
+
+RequestForwarder::Request RequestForwarder::removeRequest(RequestNumber number)
 {
     const auto found = this->requests.find(number);
-    const auto session = found->second.session;
-    const HttpRequestNumber answeredRequest = found->second.sessionRequest;
-    const Milliseconds total = this->dependencies.clock->now() - found->second.arrivedAt;
-    this->dependencies.metrics->added.add(total - std::min(total, found->second.atBackendServer));
-    for (auto& [attempt, item] : found->second.attempts) {
+    Request ended = std::move(found->second);
+    const Milliseconds total = this->dependencies.clock->now() - ended.arrivedAt;
+    this->dependencies.metrics->added.add(total - std::min(total, ended.atBackendServer));
+    for (auto& [attempt, item] : ended.attempts) {
         if (item.exchange)
             item.exchange->cancel();
     }
     this->requests.erase(found);
     this->dependencies.metrics->openRequests = this->requests.size();
-    this->removeFromSession(session->number(), number);
-    session->answer(answeredRequest, std::move(response));
+    this->removeFromSession(ended.session->number(), number);
+    return ended;
 }
 
 void RequestForwarder::execute(const SendProbe& action)
--- a/Source/Traffic/RequestForwarder.h
+++ b/Source/Traffic/RequestForwarder.h
@@ -27,7 +27,8 @@
  * Forwards callers' requests to backend servers and the answers back to the
  * callers, on the traffic thread. Posts events to the event sink and executes
  * the actions that Node decides on. Also sends probes and checks whether a
- * server accepts connections. Requests and answers are buffered whole, each body once.
+ * server accepts connections. Requests are buffered whole, each body once. Answers are held until they are whole,
+ * unless Node decides that the caller gets one while it comes.
  */
 class RequestForwarder final : private HttpSessionHandler {
 public:
@@ -48,6 +49,9 @@
         Milliseconds maxIdleForRunOnce{ 1000 };
         /** In bytes, for all that callers and servers make the instance hold; one body of the largest size fits. */
         std::size_t maxMemory = 100000000;
+        /** In bytes. While memory is scarce, an answer of which its caller has not taken so much is not read further.
+         */
+        std::size_t maxUntakenBytes = 262144;
     };
 
     struct Dependencies {
@@ -72,6 +76,7 @@
 
     void execute(const SendAttempt& action);
     void execute(const CancelAttempt& action);
+    void execute(const BeginAnswer& action);
     void execute(const ForwardAnswer& action);
     void execute(const RefuseRequest& action);
     void execute(const SendProbe& action);
@@ -90,7 +95,10 @@
         std::shared_ptr<HttpExchange> exchange; // null: the attempt has ended
         std::string backendServer;
         Milliseconds sentAt;
-        std::optional<HttpResponse> response;
+        std::optional<HttpResponse> response; // without its body if that is passed on while it comes
+        std::optional<std::uint64_t> bodyLength; // of a response whose body follows
+        bool isPassedOn = false; // the caller gets the answer while it comes
+        std::uint64_t passedOnBytes = 0; // of the body
     };
 
     /** A request whose caller waits for an answer. */
@@ -111,6 +119,7 @@
         const std::shared_ptr<HttpSession>& session, HttpRequestNumber request, HttpRequestProblem problem) override;
     bool mayStartEarly(const HttpRequest& request) const override;
     void callerGone(const std::shared_ptr<HttpSession>& session) override;
+    void answersTaken(const std::shared_ptr<HttpSession>& session) override;
     void sessionRefused() override;
 
     /** Called for the header of each answer to a request or probe sent at sentAt, even if the answer is unusable. */
@@ -119,6 +128,14 @@
     /** Ends the request and returns true if its caller left. Looks at most once in callerCheckInterval. */
     bool endIfCallerLeft(Request& request) const;
     HttpRequest makeForwardedRequest(const Request& request, const SendAttempt& action) const;
+    /** Asks Node whether the answer of which a part has come is passed on to the caller. */
+    bool passOn(
+        RequestNumber number, AttemptNumber attempt, const HttpResponse& header, std::optional<std::uint64_t> length);
+    void passBody(RequestNumber number, AttemptNumber attempt, HttpBody piece);
+    /** Goes on reading an answer whose caller has taken enough of it. */
+    void resumeAnswer(const Request& request) const;
+    /** True while an answer for this caller is not read from its server, so that others find room. */
+    bool mustWaitForCaller(const HttpSession& session) const;
     void attemptEnded(RequestNumber number, AttemptNumber attempt, HttpExchangeEnd end);
     AttemptEnd attemptEndOf(const HttpExchangeEnd& end, const std::string& backendServer) const;
     void probeEnded(const SendProbe& action, bool wasKept, HttpExchangeEnd end);
@@ -126,6 +143,8 @@
     void checkThroughRelay(const CheckServer& action);
     void returnConnection(const std::string& backendServer, HttpExchangeEnd& end);
     void sendAnswer(RequestNumber number, HttpResponse response);
+    /** Forgets a request that is answered, and returns it. */
+    Request removeRequest(RequestNumber number);
     void removeFromSession(std::uint64_t session, RequestNumber number);
 
     asio::io_context* context;
--- a/Tests/Platform/LoopbackInstance.h
+++ b/Tests/Platform/LoopbackInstance.h
@@ -74,6 +74,7 @@
     }
     void execute(const SendAttempt& action) { this->desk.execute(action); }
     void execute(const CancelAttempt& action) { this->desk.execute(action); }
+    void execute(const BeginAnswer& action) { this->desk.execute(action); }
     void execute(const ForwardAnswer& action) { this->desk.execute(action); }
     void execute(const RefuseRequest& action) { this->desk.execute(action); }
     void execute(const SendProbe& action) { this->desk.execute(action); }
--- a/Tests/Relays/HalvedAnswerServer.cpp
+++ b/Tests/Relays/HalvedAnswerServer.cpp
@@ -22,8 +22,8 @@
 /** By how much an answer ends too early. */
 constexpr std::size_t MissingBytes = 7;
 
-constexpr std::array<std::string_view, 9> FramingNames{ "length", "chunks", "connection", "interim", "short-of-length",
-    "short-of-last-chunk", "endless-body", "endless-chunk-line", "endless-head" };
+constexpr std::array<std::string_view, 10> FramingNames{ "length", "chunks", "connection", "interim", "short-of-length",
+    "short-of-last-chunk", "stopped-head", "endless-body", "endless-chunk-line", "endless-head" };
 
 bool isEndless(AnswerFraming framing)
 {
@@ -45,6 +45,17 @@
     return boost::beast::buffers_to_string(boost::beast::http::make_chunk(boost::asio::buffer(bytes)));
 }
 
+/** A header that stops short of its end, at another place and with another framing for each number at the id's end. */
+std::string stoppedHead(const std::string& start, std::string_view id)
+{
+    static const std::array<std::string, 3> framings{ "Content-Length: 9000\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n", "\r\n" };
+    const std::size_t number = std::stoul(std::string(id.substr(id.rfind('-') + 1)));
+    const std::string head = start + framings.at(number % framings.size());
+    const std::size_t missing = 1 + number / framings.size() % (head.size() - 1);
+    return head.substr(0, head.size() - missing);
+}
+
 /** What the server sends before and after the pause. */
 struct Halves {
     std::string first;
@@ -70,6 +81,8 @@
         return { start + "\r\n" + first, second };
     case AnswerFraming::Interim:
         return { "HTTP/1.1 103 Early Hints\r\n\r\n" + start + "\r\n" + first, second };
+    case AnswerFraming::StoppedHead:
+        break; // depends on the request
     case AnswerFraming::EndlessBody:
         return { start + "\r\n", std::string(PieceBytes, 'e') };
     case AnswerFraming::EndlessChunkLine:
@@ -216,9 +229,11 @@
     const auto* name = std::find(FramingNames.begin(), FramingNames.end(), target.substr(first + 1, last - first - 1));
     session->framing = static_cast<AnswerFraming>(name - FramingNames.begin());
     session->pause = decltype(session->pause)(std::stod(std::string(target.substr(last + 1))));
-    session->halves = halvesOf(session->framing,
-        "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + id + ".signed\r\nConnection: close\r\n",
-        bodyFor(id));
+    const std::string start
+        = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + id + ".signed\r\nConnection: close\r\n";
+    session->halves = halvesOf(session->framing, start, bodyFor(id));
+    if (session->framing == AnswerFraming::StoppedHead)
+        session->halves.first = stoppedHead(start, id);
     asio::async_write(session->socket, asio::buffer(session->halves.first),
         [this, session](const asio::error_code& error, std::size_t) {
             if (error)
--- a/Tests/Relays/HalvedAnswerServer.h
+++ b/Tests/Relays/HalvedAnswerServer.h
@@ -25,6 +25,7 @@
     Interim, // the same, behind an interim answer
     ShortOfLength, // the connection ends in order a few bytes before the announced length
     ShortOfLastChunk, // the connection ends in order before the last chunk
+    StoppedHead, // the connection ends in order in the middle of the header; the place follows from the request's id
     EndlessBody, // no length, and bytes until the connection is closed
     EndlessChunkLine, // a chunk's line without end
     EndlessHead
--- a/Tests/Relays/PlayRelays.cpp
+++ b/Tests/Relays/PlayRelays.cpp
@@ -185,6 +185,9 @@
         result.broken.push_back(what + " was answered " + std::to_string(status) + " and has run");
     if (!caller.isDone() || caller.received().empty())
         result.broken.push_back(what + " got no answer");
+    if (item.longestFirstByte.count() && caller.firstByteAfter() > item.longestFirstByte)
+        result.broken.push_back(
+            what + " waited " + std::to_string(caller.firstByteAfter().count()) + " ms for the first byte");
     if (item.trouble == RelayTrouble::None && isWhole(request.framing) && !isRight)
         result.broken.push_back(what + " did not get the server's answer, but status " + std::to_string(status));
 }
@@ -224,7 +227,7 @@
 {
     RelayResult result;
     RelayFleet fleet(item, options);
-    if (!fleet.start() || !fleet.cut()) {
+    if (!fleet.start() || (item.isRelayed && !fleet.cut())) {
         result.broken.emplace_back("the instances did not serve before the trouble");
         return result;
     }
@@ -238,10 +241,11 @@
                 .mayRepeat = number % 2 == 0 }));
     CrowdInstance* relay = nullptr;
     if (item.trouble != RelayTrouble::None) {
-        waitFor(Patience, [&] { return (relay = fleet.busiestRelay()); });
+        if (item.isRelayed)
+            waitFor(Patience, [&] { return (relay = fleet.busiestRelay()); });
         const std::string missing = waitForMoment(item, fleet, callers);
         // At the end of the answers there is no time to ask again.
-        if (item.trouble != RelayTrouble::KillAtTheEnd)
+        if (item.isRelayed && item.trouble != RelayTrouble::KillAtTheEnd)
             relay = fleet.busiestRelay();
         const std::string why = missing.empty() ? makeTrouble(item, fleet, relay) : missing;
         if (!why.empty())
--- a/Tests/Relays/RelayCase.cpp
+++ b/Tests/Relays/RelayCase.cpp
@@ -8,10 +8,24 @@
     using std::chrono::milliseconds;
     static const std::vector<AnswerFraming> ending{ Framing::Length, Framing::Chunks, Framing::Connection,
         Framing::Interim, Framing::ShortOfLength, Framing::ShortOfLastChunk };
+    static const std::vector<AnswerFraming> stopped{ Framing::StoppedHead };
     static const std::vector<AnswerFraming> endless{ Framing::EndlessBody, Framing::EndlessChunkLine,
         Framing::EndlessHead };
     static const std::vector<RelayCase> cases{
-        { .name = "NoTrouble", .framings = ending },
+        // Half of the pause in the middle of the answers.
+        { .name = "NoTrouble", .framings = ending, .longestFirstByte = milliseconds(500) },
+        { .name = "Direct", .isRelayed = false, .framings = ending, .longestFirstByte = milliseconds(500) },
+        { .name = "DirectServerResets",
+            .isRelayed = false,
+            .trouble = RelayTrouble::ServerResets,
+            .framings = ending,
+            .longestFirstByte = milliseconds(500) },
+        { .name = "StoppedHeads", .framings = stopped, .callers = 400, .pause = milliseconds(0) },
+        { .name = "DirectStoppedHeads",
+            .isRelayed = false,
+            .framings = stopped,
+            .callers = 400,
+            .pause = milliseconds(0) },
         { .name = "Killed", .trouble = RelayTrouble::Kill, .framings = ending },
         { .name = "KilledWithoutRetries", .trouble = RelayTrouble::Kill, .framings = ending, .retrySlack = 0 },
         { .name = "KilledAtTheEnd",
--- a/Tests/Relays/RelayCase.h
+++ b/Tests/Relays/RelayCase.h
@@ -19,15 +19,18 @@
     ServerResets // the server resets the connections
 };
 
-/** Requests of callers at an instance without a path to the server, which other instances relay. */
+/** Requests of callers at an instance that has no path to the server, so that others relay them, or has one. */
 struct RelayCase {
     std::string name;
+    bool isRelayed = true;
     RelayTrouble trouble = RelayTrouble::None;
     std::vector<AnswerFraming> framings; // of the server's answers; each in turn
     std::size_t callers = 24; // half of them on a route whose requests may run only once
     std::chrono::duration<double, std::milli> pause{ 1000 }; // in the middle of each answer
     std::chrono::duration<double, std::milli> pauseStep{ 0 }; // by which each caller's pause is longer
     unsigned retrySlack = 640; // retries of the fleet in 10 s
+    /** Every caller must have the first byte of its answer after this time; 0: not judged. */
+    std::chrono::duration<double, std::milli> longestFirstByte{ 0 };
 };
 
 const std::vector<RelayCase>& relayCases();
--- a/Tests/Relays/RelayEnds.cc
+++ b/Tests/Relays/RelayEnds.cc
@@ -1,8 +1,10 @@
-// Plays the ends of instances that relay requests, with the program in processes of its own, and judges by the bytes
-// that each caller got, whatever the instances tried again.
+// Plays answers that pause or break off in the middle and the ends of instances that relay them, with the program in
+// processes of its own, and judges by the bytes that each caller got, whatever the instances tried again.
 //
 // Guards against a part of an answer that reaches a caller as a whole one: half of an answer without a length, because
-// the connection of a killed relay ends in order; an answer whose last bytes are what a relay says of its end.
+// the connection of a killed relay ends in order; an answer whose last bytes are what a relay says of its end; an
+// answer whose header stops. And against answers that are held until they are whole: their callers got the first byte
+// last.
 
 #include "Tests/Relays/RelayCase.h"
 
--- a/Tests/Relays/RelayedCaller.cpp
+++ b/Tests/Relays/RelayedCaller.cpp
@@ -4,7 +4,9 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
-#include <charconv>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <string_view>
 #include <sys/socket.h>
@@ -15,19 +17,9 @@
 
 namespace {
 
-constexpr std::string_view HeadEnd = "\r\n\r\n";
-constexpr std::string_view LengthField = "\r\nContent-Length: ";
-constexpr std::string_view StatusStart = "HTTP/1.1 ";
 /** More than the deadline of the requests. */
 constexpr timeval Patience{ .tv_sec = 12, .tv_usec = 0 };
 
-unsigned long numberAt(std::string_view text, std::size_t place)
-{
-    unsigned long number = 0;
-    std::from_chars(text.data() + place, text.data() + text.size(), number);
-    return number;
-}
-
 }
 
 RelayedCaller::RelayedCaller(Options givenOptions)
@@ -55,12 +47,15 @@
             + "\r\nContent-Length: 0\r\n\r\n"),
         error);
     std::array<char, 8192> chunk{};
-    while (!error && !this->isComplete(false)) {
+    const auto start = std::chrono::steady_clock::now();
+    while (!error && !this->completeAnswer()) {
         const auto size = recv(socket.native_handle(), chunk.data(), chunk.size(), 0);
         if (size <= 0) {
             this->hasEnded = size == 0;
             break;
         }
+        if (this->bytes.empty())
+            this->firstByte = std::chrono::steady_clock::now() - start;
         this->bytes.append(chunk.data(), static_cast<std::size_t>(size));
     }
     // Bytes behind the answer would belong to no request.
@@ -70,27 +65,32 @@
     this->done = true;
 }
 
-bool RelayedCaller::isComplete(bool hasConnectionEnded) const
+std::optional<RelayedCaller::Answer> RelayedCaller::completeAnswer() const
 {
-    const std::size_t headEnd = this->bytes.find(HeadEnd);
-    if (headEnd == std::string::npos)
-        return false;
-    const std::string_view head(this->bytes.data(), headEnd);
-    const std::size_t length = head.find(LengthField);
-    if (length == std::string_view::npos)
-        return hasConnectionEnded;
-    return this->bytes.size() >= headEnd + HeadEnd.size() + numberAt(head, length + LengthField.size());
+    boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+    parser.eager(true);
+    boost::beast::error_code error;
+    std::string_view left = this->bytes;
+    while (!left.empty() && !error && !parser.is_done())
+        left.remove_prefix(parser.put(boost::asio::buffer(left.data(), left.size()), error));
+    if (!error && this->hasEnded && !parser.is_done())
+        parser.put_eof(error);
+    // Bytes behind the answer would belong to no request.
+    if (error || !parser.is_done() || !left.empty())
+        return std::nullopt;
+    return Answer{ .status = parser.get().result_int(), .body = parser.get().body() };
 }
 
 unsigned RelayedCaller::status() const
 {
-    const bool isAnswer = this->bytes.starts_with(StatusStart) && this->isComplete(this->hasEnded);
-    return isAnswer ? static_cast<unsigned>(numberAt(this->bytes, StatusStart.size())) : 0;
+    const auto answer = this->completeAnswer();
+    return answer ? answer->status : 0;
 }
 
 std::string RelayedCaller::body() const
 {
-    return this->bytes.substr(this->bytes.find(HeadEnd) + HeadEnd.size());
+    const auto answer = this->completeAnswer();
+    return answer ? answer->body : std::string();
 }
 
 }
--- a/Tests/Relays/RelayedCaller.h
+++ b/Tests/Relays/RelayedCaller.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -35,15 +36,24 @@
     unsigned status() const;
     /** The body of a complete answer. */
     std::string body() const;
+    /** From sending the request to the first byte of the answer; only once the caller is done. */
+    std::chrono::duration<double, std::milli> firstByteAfter() const { return this->firstByte; }
 
 private:
+    /** A complete answer. */
+    struct Answer {
+        unsigned status = 0;
+        std::string body;
+    };
+
     void run();
-    /** True if a whole answer has come; one without a length ends with the connection. */
-    bool isComplete(bool hasEnded) const;
+    /** The answer if all of it has come; one without a length ends with the connection. */
+    std::optional<Answer> completeAnswer() const;
 
     Options options;
     std::string bytes;
-    bool hasEnded = false;
+    bool hasEnded = false; // the connection has ended in order
+    std::chrono::duration<double, std::milli> firstByte{ 0 };
     std::atomic<bool> done{ false };
     std::thread thread;
 };
--- a/Tests/Virtual/VirtualFleet.h
+++ b/Tests/Virtual/VirtualFleet.h
@@ -249,6 +249,7 @@
 
     void execute(std::size_t instance, const SendAttempt& action);
     void execute(std::size_t instance, const CancelAttempt& action);
+    void execute(std::size_t, const BeginAnswer&) { } // servers answer at once
     void execute(std::size_t instance, const ForwardAnswer& action);
     void execute(std::size_t instance, const RefuseRequest& action);
     void execute(std::size_t instance, const SendProbe& action);
